--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# make demo and make test are the only commands a new machine needs.
+GOLANGCI := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BUF := go run github.com/bufbuild/buf/cmd/buf@v1.75.0
+SEED ?= 1
+
+.PHONY: all build test lint fmt generate demo
+
+all: lint test
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race -count=1 -shuffle=$(SEED) ./...
+
+lint:
+	go vet ./...
+	$(GOLANGCI) run
+	$(GOLANGCI) fmt --diff
+
+fmt:
+	$(GOLANGCI) fmt
+
+generate:
+	$(BUF) generate
+
+demo: build
+	./bin/goldcresthinge-load demo
--- /dev/null
+++ b/internal/membership/exchanger.go
@@ -0,0 +1,15 @@
+// Package membership tracks the live siblings of an entry VM by heartbeats.
+package membership
+
+import (
+	"context"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// Exchanger sends one request to a sibling and returns its response. It never
+// repeats a request by itself.
+type Exchanger interface {
+	Exchange(ctx context.Context, to vm.Info, req *siblingpb.Request) (*siblingpb.Response, error)
+}
--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,138 @@
+// Package outcome defines the result of a call as a value. Every call ends with
+// exactly one of three kinds, which callers can rely on.
+package outcome
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Header names used between callers, entry VMs and targets.
+const (
+	HeaderOutcome       = "Goldcresthinge-Outcome"
+	HeaderReason        = "Goldcresthinge-Reason"
+	HeaderHomeRegions   = "Goldcresthinge-Home-Regions"
+	HeaderEarlierStatus = "Goldcresthinge-Earlier-Status"
+	HeaderDeadlineMs    = "Goldcresthinge-Deadline-Ms"
+	HeaderDepth         = "Goldcresthinge-Depth"
+	HeaderAttempt       = "Goldcresthinge-Attempt"
+	HeaderTenant        = "Goldcresthinge-Tenant"
+	HeaderInstance      = "Goldcresthinge-Instance"
+	HeaderLeaving       = "Goldcresthinge-Leaving"
+	HeaderIdempotency   = "Idempotency-Key"
+)
+
+// Kind says what is known about the execution of a call.
+type Kind uint8
+
+const (
+	// Unknown means that the request may or may not have run. It is the zero
+	// value, so that a forgotten assignment never claims too much.
+	Unknown Kind = iota
+	// Answered means that the whole answer of the target is available.
+	Answered
+	// NotRun means that no byte of the request reached a target, or that the
+	// target itself said that it did not run the request.
+	NotRun
+)
+
+// String returns the value used in the outcome header.
+func (k Kind) String() string {
+	switch k {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// ParseKind reads the value of an outcome header. Anything else is Unknown.
+func ParseKind(s string) Kind {
+	switch s {
+	case "answered":
+		return Answered
+	case "not-run":
+		return NotRun
+	default:
+		return Unknown
+	}
+}
+
+// Reason is a stable, machine-readable cause of a refusal or failure.
+type Reason string
+
+// Reasons of refusals and failures.
+const (
+	ReasonNoRoute        Reason = "no-route"
+	ReasonBadRequest     Reason = "bad-request"
+	ReasonBodyTooLarge   Reason = "body-too-large"
+	ReasonNoKey          Reason = "no-idempotency-key"
+	ReasonWrongRegion    Reason = "wrong-region"
+	ReasonDepth          Reason = "depth-exceeded"
+	ReasonDeadline       Reason = "deadline"
+	ReasonQueueFull      Reason = "queue-full"
+	ReasonNoTarget       Reason = "no-target"
+	ReasonNoHolder       Reason = "no-holder"
+	ReasonNotHolder      Reason = "not-holder"
+	ReasonLeaseLost      Reason = "lease-lost"
+	ReasonOutOfService   Reason = "failure-domain-out-of-service"
+	ReasonShed           Reason = "target-shed"
+	ReasonConnect        Reason = "connect-failed"
+	ReasonSiblingLost    Reason = "sibling-lost"
+	ReasonTargetLost     Reason = "target-lost"
+	ReasonCanceled       Reason = "caller-gone"
+	ReasonStoreDown      Reason = "store-unavailable"
+	ReasonNoClaimStore   Reason = "no-claim-store"
+	ReasonDuplicate      Reason = "duplicate"
+	ReasonInProgress     Reason = "duplicate-in-progress"
+	ReasonClaimUncertain Reason = "claim-uncertain"
+	ReasonNotReady       Reason = "not-ready"
+	ReasonLinkBudget     Reason = "link-budget"
+)
+
+// Error is a call that did not end with a whole answer of the target.
+type Error struct {
+	Kind       Kind
+	Reason     Reason
+	Status     int           // HTTP status for the caller
+	RetryAfter time.Duration // zero: no advice
+	Detail     string        // never holds content of a request
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return fmt.Sprintf("%s: %s", e.Kind, e.Reason)
+	}
+	return fmt.Sprintf("%s: %s: %s", e.Kind, e.Reason, e.Detail)
+}
+
+// Refuse returns a NotRun error.
+func Refuse(status int, reason Reason, detail string) *Error {
+	return &Error{Kind: NotRun, Reason: reason, Status: status, Detail: detail}
+}
+
+// Busy returns a NotRun error with status 503 and advice when to retry.
+func Busy(reason Reason, retryAfter time.Duration) *Error {
+	return &Error{Kind: NotRun, Reason: reason, Status: http.StatusServiceUnavailable, RetryAfter: retryAfter}
+}
+
+// Uncertain returns an Unknown error with status 502.
+func Uncertain(reason Reason, detail string) *Error {
+	return &Error{Kind: Unknown, Reason: reason, Status: http.StatusBadGateway, Detail: detail}
+}
+
+// WriteHeader adds the outcome headers of e to h. Retry-After is rounded up to
+// whole seconds, its unit in HTTP.
+func (e *Error) WriteHeader(h http.Header) {
+	h.Set(HeaderOutcome, e.Kind.String())
+	h.Set(HeaderReason, string(e.Reason))
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+}
