--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,139 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+	"goldcresthinge.example/goldcresthinge/internal/pool"
+)
+
+var (
+	t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	id = inventory.PoolID{Service: "kreisplan", FailureDomain: "ost-wien"}
+)
+
+func service(slots int) *inventory.Service {
+	return &inventory.Service{Name: id.Service, Slots: slots, ColdRate: 10, ProbesPerSecond: 0.2, CallTimeoutMs: 2000}
+}
+
+func targets(n int) []inventory.Target {
+	out := make([]inventory.Target, n)
+	for i := range out {
+		out[i] = inventory.Target{Name: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("127.0.0.1:%d", 7000+i), FailureDomain: id.FailureDomain}
+	}
+	return out
+}
+
+// warmPool has n warm targets by handover.
+func warmPool(n, slots int) *pool.State {
+	h := pool.Handover{}
+	for _, t := range targets(n) {
+		h.Targets = append(h.Targets, pool.TargetHandover{Name: t.Name, Limit: slots, Warm: true, Baseline: 20 * time.Millisecond})
+	}
+	return pool.New(id, service(slots), targets(n), t0, &h)
+}
+
+func answered(ms int) pool.Result {
+	return pool.Result{Kind: outcome.Answered, Status: 200, Latency: time.Duration(ms) * time.Millisecond}
+}
+
+// Guards against a slot that is counted twice when a call is released again.
+func TestReleaseTwiceFreesOneSlot(t *testing.T) {
+	g := NewWithT(t)
+	p := warmPool(1, 2)
+	a, ok := p.Acquire(t0)
+	g.Expect(ok).To(BeTrue())
+	_, ok = p.Acquire(t0)
+	g.Expect(ok).To(BeTrue())
+	p.Release(t0, a, answered(20))
+	p.Release(t0, a, answered(20))
+	g.Expect(p.Load(t0)).To(Equal(pool.Load{Free: 1, Slots: 2, InFlight: 1}))
+}
+
+// Guards against two holders that together exceed the slots of a target.
+func TestHandoverKeepsSlotsOfCallsInFlight(t *testing.T) {
+	g := NewWithT(t)
+	old := warmPool(1, 2)
+	_, _ = old.Acquire(t0)
+	h := old.Export()
+	p := pool.New(id, service(2), targets(1), t0, &h)
+	_, ok := p.Acquire(t0)
+	g.Expect(ok).To(BeTrue())
+	_, ok = p.Acquire(t0)
+	g.Expect(ok).To(BeFalse(), "the second slot is in use by the former holder")
+	at, ok := p.NextFree(t0)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(at).To(Equal(t0.Add(2*time.Second)), "the call timeout frees it")
+	p.PredecessorDone("t0", 1)
+	_, ok = p.Acquire(t0)
+	g.Expect(ok).To(BeTrue())
+}
+
+// Guards against a target that fails fast and attracts work by it.
+func TestFailFastTargetDoesNotAttractWork(t *testing.T) {
+	g := NewWithT(t)
+	p := warmPool(3, 2)
+	now, failed := t0, 0
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		a, ok := p.Acquire(now)
+		g.Expect(ok).To(BeTrue())
+		if a.Target.Name == "t1" {
+			failed++
+			p.Release(now, a, pool.Result{Kind: outcome.Answered, Status: 500, Latency: time.Millisecond})
+			continue
+		}
+		p.Release(now, a, answered(20))
+	}
+	g.Expect(failed).To(BeNumerically("<", 5))
+}
+
+// Guards against a configuration change that grants slots still in use.
+func TestRemovedTargetThatReturnsKeepsCallsInFlight(t *testing.T) {
+	g := NewWithT(t)
+	p := warmPool(1, 2)
+	_, _ = p.Acquire(t0)
+	p.Update(t0, service(2), nil)
+	_, ok := p.Acquire(t0)
+	g.Expect(ok).To(BeFalse())
+	p.Update(t0, service(2), targets(1))
+	_, ok = p.Acquire(t0.Add(time.Second))
+	g.Expect(ok).To(BeFalse(), "the cold limit of one is in use")
+}
+
+// Guards against limits that the reduced mode or the half cap leave too high.
+func TestCapsOfTheHolder(t *testing.T) {
+	g := NewWithT(t)
+	p := warmPool(1, 3)
+	p.SetReduced(true)
+	g.Expect(p.Load(t0).Slots).To(Equal(1))
+	p.SetReduced(false)
+	p.SetHalfCap(true)
+	g.Expect(p.Load(t0).Slots).To(Equal(2))
+	p.SetHalfCap(false)
+	g.Expect(p.Load(t0).Slots).To(Equal(3))
+	cold := pool.New(id, service(3), targets(1), t0, nil)
+	cold.SetReduced(true)
+	g.Expect(cold.Load(t0).Slots).To(Equal(0))
+}
+
+// Guards against new work for a target whose health endpoint lags behind its
+// announcement, and against a new process that is never used.
+func TestLeavingTarget(t *testing.T) {
+	g := NewWithT(t)
+	p := warmPool(1, 2)
+	a, _ := p.Acquire(t0)
+	r := answered(20)
+	r.Leaving, r.Instance = true, "a"
+	p.Release(t0, a, r)
+	p.ProbeDone(t0, "t0", pool.ProbeResult{OK: true, Instance: "a"})
+	_, ok := p.Acquire(t0)
+	g.Expect(ok).To(BeFalse())
+	p.ProbeDone(t0, "t0", pool.ProbeResult{OK: true, Instance: "b"})
+	g.Expect(p.Load(t0).Slots).To(Equal(1), "the new process is cold")
+}
