platform: add in-memory stand-in and HTTP client

Cause: lease, rollout and claim need the platform's table, object store and VM list, and tests need their failures.

Ruled out: letting net/http re-send requests (a commit could apply twice); treating every 503 as "no effect" (it may come from an intermediary); row versions that restart after a deletion (a condition on an older row would match a newer one).

Change: package wire holds the JSON protocol, standin the server with faults (down, reset, answer lost, slow, frozen; per caller), limits and a record of writes, httpplatform the client. A write that got no connection, and an answer that says so by code, is ErrUnavailable; any other write without a whole answer is ErrUncertain. A slow or frozen write takes effect later even if its caller gave up.

Measured: nothing.

--- /dev/null
+++ b/internal/platform/standin/client.go
@@ -0,0 +1,179 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+)
+
+// Client is the access of one VM to the stand-in, without HTTP. It implements
+// platform.Table; Objects and VMs return the other two services.
+type Client struct {
+	s    *Server
+	name string
+}
+
+type (
+	objects struct{ c Client }
+	vms     struct{ c Client }
+)
+
+var (
+	_ platform.Table       = Client{}
+	_ platform.ObjectStore = objects{}
+	_ platform.VMList      = vms{}
+)
+
+// As returns the access of the VM with the given name. Faults can be limited
+// to callers by that name.
+func (s *Server) As(name string) Client { return Client{s: s, name: name} }
+
+// Objects returns the object store.
+func (c Client) Objects() platform.ObjectStore { return objects{c} }
+
+// VMs returns the list of VMs.
+func (c Client) VMs() platform.VMList { return vms{c} }
+
+// Get implements platform.Table.
+func (c Client) Get(ctx context.Context, key string) (platform.Row, error) {
+	var row platform.Row
+	var ok bool
+	err := c.s.request(ctx, c.name, ServiceTable, false, func() {
+		row, ok = c.s.rows[key]
+	})
+	if err != nil {
+		return platform.Row{}, err
+	}
+	if !ok {
+		return platform.Row{}, merry.Prependf(platform.ErrNotFound, "row %q", key)
+	}
+	row.Value = bytes.Clone(row.Value)
+	return row, nil
+}
+
+// Scan implements platform.Table.
+func (c Client) Scan(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+	var rows []platform.Row
+	err := c.s.request(ctx, c.name, ServiceTable, false, func() {
+		rows = c.s.scan(prefix, limit)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return rows, nil
+}
+
+// Commit implements platform.Table.
+func (c Client) Commit(ctx context.Context, ops []platform.Op) ([]platform.Row, error) {
+	ops = slices.Clone(ops)
+	for i := range ops {
+		ops[i].Value = bytes.Clone(ops[i].Value)
+	}
+	var rows []platform.Row
+	var conflict *platform.ConflictError
+	err := c.s.request(ctx, c.name, ServiceTable, true, func() {
+		rows, conflict = c.s.commit(c.name, ops)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if conflict != nil {
+		return nil, conflict
+	}
+	return rows, nil
+}
+
+func (s *Server) scan(prefix string, limit int) []platform.Row {
+	keys := slices.Sorted(maps.Keys(s.rows))
+	start, _ := slices.BinarySearch(keys, prefix)
+	var rows []platform.Row
+	for _, k := range keys[start:] {
+		if len(rows) >= limit || !strings.HasPrefix(k, prefix) {
+			break
+		}
+		row := s.rows[k]
+		row.Value = bytes.Clone(row.Value)
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// commit applies a transaction. The server's lock is held.
+func (s *Server) commit(caller string, ops []platform.Op) ([]platform.Row, *platform.ConflictError) {
+	var conflict platform.ConflictError
+	for _, op := range ops {
+		cur := s.rows[op.Key]
+		if cur.Version != op.IfVersion {
+			conflict.Rows = append(conflict.Rows, platform.Row{
+				Key: op.Key, Value: bytes.Clone(cur.Value), Version: cur.Version,
+			})
+		}
+	}
+	if len(conflict.Rows) > 0 {
+		return nil, &conflict
+	}
+	rows := make([]platform.Row, len(ops))
+	for i, op := range ops {
+		if op.Delete {
+			delete(s.rows, op.Key)
+			rows[i] = platform.Row{Key: op.Key}
+			continue
+		}
+		s.version++
+		s.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: s.version}
+		rows[i] = platform.Row{Key: op.Key, Value: bytes.Clone(op.Value), Version: s.version}
+	}
+	s.record(Write{Caller: caller, Ops: ops})
+	return rows, nil
+}
+
+// Put implements platform.ObjectStore.
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	data = bytes.Clone(data)
+	s := o.c.s
+	return s.request(ctx, o.c.name, ServiceObjects, true, func() {
+		s.objects[name] = data
+		s.record(Write{Caller: o.c.name, Object: name})
+	})
+}
+
+// Get implements platform.ObjectStore.
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	var data []byte
+	var ok bool
+	err := o.c.s.request(ctx, o.c.name, ServiceObjects, false, func() {
+		data, ok = o.c.s.objects[name]
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, merry.Prependf(platform.ErrNotFound, "object %q", name)
+	}
+	return bytes.Clone(data), nil
+}
+
+// List implements platform.VMList. It returns the list as it was one lag ago.
+func (v vms) List(ctx context.Context) ([]platform.VMEntry, error) {
+	var entries []platform.VMEntry
+	s := v.c.s
+	err := s.request(ctx, v.c.name, ServiceVMs, false, func() {
+		seen := s.clock.Now().Add(-time.Duration(s.cond.VMListLagMs) * time.Millisecond)
+		for _, l := range s.vms {
+			if !l.at.After(seen) {
+				entries = l.entries
+			}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return slices.Clone(entries), nil
+}
