Add target stand-in and standin program

Cause: tests, experiments and the demo need backend servers with slots, cold starts and faults, and must know what really ran. Ruled out: closing only idle connections when a target goes down; a fallen process resets calls in progress too. A sequence of HTTP test servers; they cannot go down and return on one port. Change: package internal/standin/target, program goldcresthinge-standin with the subcommands target and platform. The platform stand-in is handed in as a function and is nil here.

--- /dev/null
+++ b/internal/standin/program.go
@@ -0,0 +1,131 @@
+// Package standin holds the program that runs the stand-ins for the platform
+// and for backend servers as processes of their own.
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+
+	"goldcresthinge.example/goldcresthinge/internal/standin/target"
+)
+
+// Platform is a running stand-in for the platform.
+type Platform interface {
+	Address() string
+	Stop(ctx context.Context) error
+}
+
+// PlatformStarter starts a stand-in for the platform on an address.
+type PlatformStarter func(ctx context.Context, address string) (Platform, error)
+
+// TargetCommand are the settings of the target subcommand.
+type TargetCommand struct {
+	Address       string        `arg:"--address,env:GOLDCRESTHINGE_STANDIN_ADDRESS" default:"127.0.0.1:9100" help:"host:port of the first target; the next ones take the next ports"`
+	Count         int           `arg:"--count" default:"1" help:"number of targets"`
+	Service       string        `arg:"--service" default:"target" help:"prefix of the target names"`
+	Region        string        `arg:"--region" help:"region of the targets"`
+	FailureDomain string        `arg:"--failure-domain" help:"failure domain of the targets"`
+	Slots         int           `arg:"--slots" default:"2" help:"calls that a warm target runs at once"`
+	ServiceTime   time.Duration `arg:"--service-time" default:"20ms" help:"mean service time"`
+	Distribution  string        `arg:"--distribution" default:"exponential" help:"fixed, exponential or lognormal"`
+	ProbeTime     time.Duration `arg:"--probe-time" default:"6ms" help:"duration of GET /load and GET /healthz"`
+	Warm          bool          `arg:"--warm" help:"no cold start"`
+	Seed          uint64        `arg:"--seed" default:"1" help:"seed of service times and faults"`
+}
+
+// PlatformCommand are the settings of the platform subcommand.
+type PlatformCommand struct {
+	Address string `arg:"--address,env:GOLDCRESTHINGE_STANDIN_ADDRESS" default:"127.0.0.1:9000" help:"host:port to listen on"`
+}
+
+type arguments struct {
+	Target   *TargetCommand   `arg:"subcommand:target" help:"run stand-ins for backend servers"`
+	Platform *PlatformCommand `arg:"subcommand:platform" help:"run a stand-in for the platform"`
+}
+
+// Run runs the program until ctx ends. startPlatform may be nil in a build
+// without the platform stand-in.
+func Run(ctx context.Context, args []string, out io.Writer, startPlatform PlatformStarter) error {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: "goldcresthinge-standin"}, &a)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	if err := p.Parse(args); err != nil {
+		p.WriteHelp(out)
+		if errors.Is(err, arg.ErrHelp) {
+			return nil
+		}
+		return merry.Prepend(err, "arguments")
+	}
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(out))
+	switch {
+	case a.Target != nil:
+		return runTargets(ctx, a.Target, log.With(logger, "part", "target"))
+	case a.Platform != nil && startPlatform != nil:
+		return runPlatform(ctx, a.Platform, log.With(logger, "part", "platform"), startPlatform)
+	case a.Platform != nil:
+		return merry.New("this build has no platform stand-in")
+	}
+	p.WriteHelp(out)
+	return merry.New("a subcommand is needed")
+}
+
+func runTargets(ctx context.Context, c *TargetCommand, logger log.Logger) error {
+	host, portText, err := net.SplitHostPort(c.Address)
+	if err != nil {
+		return merry.Prepend(err, "address")
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return merry.Prepend(err, "address")
+	}
+	cold := target.DefaultCold()
+	if c.Warm {
+		cold = target.Cold{}
+	}
+	for i := range c.Count {
+		own := port
+		if port != 0 {
+			own += i
+		}
+		t, err := target.Start(target.Config{
+			Name:    fmt.Sprintf("%s-%03d", c.Service, i+1),
+			Address: net.JoinHostPort(host, strconv.Itoa(own)),
+			Region:  c.Region, FailureDomain: c.FailureDomain,
+			Slots: c.Slots, ServiceTime: c.ServiceTime, Distribution: target.Distribution(c.Distribution),
+			Seed: c.Seed + uint64(i), Cold: cold, ProbeTime: c.ProbeTime,
+		})
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		defer t.Stop()
+		_ = logger.Log("msg", "listening", "target", t.Config().Name, "address", t.Address())
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// stopTimeout bounds the graceful stop of the platform stand-in.
+const stopTimeout = 5 * time.Second
+
+func runPlatform(ctx context.Context, c *PlatformCommand, logger log.Logger, start PlatformStarter) error {
+	platform, err := start(ctx, c.Address)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	_ = logger.Log("msg", "listening", "address", platform.Address())
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	return merry.Wrap(platform.Stop(stopCtx))
+}
--- /dev/null
+++ b/internal/standin/target/target_test.go
@@ -0,0 +1,185 @@
+package target_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+	"goldcresthinge.example/goldcresthinge/internal/standin/target"
+)
+
+func TestTarget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Target")
+}
+
+type result struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+var _ = Describe("target", func() {
+	var (
+		t      *target.Target
+		client *http.Client
+	)
+
+	start := func(cfg target.Config) {
+		cfg.Name, cfg.Region = "szeged-a-1", "alfold"
+		var err error
+		t, err = target.Start(cfg)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(t.Stop)
+		transport := &http.Transport{}
+		client = &http.Client{Transport: transport}
+		DeferCleanup(transport.CloseIdleConnections)
+	}
+	do := func(id, body string, headers ...string) result {
+		req, err := http.NewRequest(http.MethodPost, "http://"+t.Address()+"/permits", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set(target.HeaderRequestID, id)
+		for i := 0; i+1 < len(headers); i += 2 {
+			req.Header.Set(headers[i], headers[i+1])
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return result{err: err}
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		return result{resp.StatusCode, resp.Header, data, err}
+	}
+	get := func(path string) result {
+		resp, err := client.Get("http://" + t.Address() + path)
+		if err != nil {
+			return result{err: err}
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		return result{resp.StatusCode, resp.Header, data, err}
+	}
+
+	It("answers with the request id and the digest of the body", func() {
+		start(target.Config{})
+		r := do("r1", "hello")
+		Expect(r.err).NotTo(HaveOccurred())
+		head, err := target.CheckAnswer("r1", []byte("hello"), r.body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(head.Target).To(Equal("szeged-a-1"))
+		Expect(r.header.Get(outcome.HeaderInstance)).To(Equal("szeged-a-1.1"))
+		_, err = target.CheckAnswer("r2", []byte("hello"), r.body)
+		Expect(err).To(MatchError(target.ErrForeign))
+		_, err = target.CheckAnswer("r1", []byte("other"), r.body)
+		Expect(err).To(MatchError(target.ErrForeign))
+	})
+
+	It("falls over when it gets more than it bears while cold, and comes back as a new instance", func() {
+		start(target.Config{Cold: target.Cold{Calls: 1000, Time: time.Hour, Rate: 3, Down: time.Millisecond}})
+		for i := range 3 {
+			Expect(do(string(rune('a'+i)), "").status).To(Equal(http.StatusOK))
+		}
+		Expect(do("overload", "").err).To(HaveOccurred())
+		Eventually(t.Instance).Should(Equal("szeged-a-1.2"))
+		Expect(do("again", "").status).To(Equal(http.StatusOK))
+		Expect(t.Record().ColdOverloads).To(Equal(1))
+	})
+
+	It("sheds with an outcome of not-run and does not run the call", func() {
+		start(target.Config{})
+		t.SetFaults(target.Faults{Shed: 1})
+		r := do("r1", "")
+		Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.header.Get(outcome.HeaderOutcome)).To(Equal("not-run"))
+		Expect(r.header.Get("Retry-After")).To(Equal("1"))
+		Expect(t.Record().Runs).To(BeEmpty())
+	})
+
+	It("never runs more calls at once than it has slots", func() {
+		start(target.Config{ServiceTime: 5 * time.Millisecond, Distribution: target.Fixed, Waiting: 40})
+		var wg sync.WaitGroup
+		for range 20 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				Expect(do("x", "").status).To(Equal(http.StatusOK))
+			})
+		}
+		wg.Wait()
+		Expect(t.Record().Runs).To(HaveLen(20))
+		Expect(t.Record().RunningHighWater).To(Equal(2))
+	})
+
+	It("says that it leaves while it drains", func() {
+		start(target.Config{})
+		t.Drain()
+		r := do("r1", "")
+		Expect(r.header.Get(outcome.HeaderLeaving)).To(Equal("1"))
+		Expect(string(get("/healthz").body)).To(Equal("draining\n"))
+		Expect(t.Record().Runs[0].Draining).To(BeTrue())
+	})
+
+	It("stops a run at its deadline", func() {
+		start(target.Config{ServiceTime: time.Hour, Distribution: target.Fixed})
+		r := do("r1", "", outcome.HeaderDeadlineMs, "5")
+		Expect(r.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(r.header.Get(outcome.HeaderOutcome)).To(BeEmpty(), "the run had begun")
+		Expect(t.Record().Runs[0].Finished).To(BeFalse())
+	})
+
+	It("truncates, crosses and repeats answers as told", func() {
+		start(target.Config{AnswerBytes: 10000})
+		Expect(do("r0", "").status).To(Equal(http.StatusOK))
+		t.SetFaults(target.Faults{Truncate: 1})
+		Expect(do("r1", "").err).To(MatchError(io.ErrUnexpectedEOF))
+		t.SetFaults(target.Faults{Cross: 1})
+		_, err := target.CheckAnswer("r2", nil, do("r2", "").body)
+		Expect(err).To(MatchError(target.ErrForeign))
+		t.SetFaults(target.Faults{ExtraAnswer: 1})
+		Expect(do("r3", "").status).To(Equal(http.StatusOK))
+		Eventually(func() int { return t.Record().ExtraAnswers }).Should(Equal(1))
+	})
+
+	It("notes requests outside their home regions even when it sheds them", func() {
+		start(target.Config{})
+		t.SetFaults(target.Faults{Shed: 1})
+		do("r1", "", target.HeaderHomeRegions, "dunantul")
+		do("r2", "", target.HeaderHomeRegions, "dunantul, alfold")
+		Expect(t.Record().SeenOutside).To(Equal([]string{"r1"}))
+	})
+
+	It("counts probes and their bytes apart from calls, and lies as told", func() {
+		start(target.Config{AnswerBytes: 100000})
+		do("r1", "")
+		zero := 7
+		t.SetFaults(target.Faults{LoadInFlight: &zero})
+		Expect(string(get("/load").body)).To(ContainSubstring(`"in_flight":7`))
+		Eventually(func() int64 { return t.Record().ProbeBytes }).Should(And(BeNumerically(">", 100), BeNumerically("<", 2000)))
+		Expect(t.Record().Probes).To(Equal(1))
+	})
+
+	It("takes faults by request and refuses unknown ones", func() {
+		start(target.Config{})
+		post := func(body string) int {
+			resp, err := client.Post("http://"+t.Address()+"/faults", "application/json", bytes.NewReader([]byte(body)))
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+			return resp.StatusCode
+		}
+		Expect(post(`{"slow": 5, "late": 1, "late_ms": 1, "drain": true}`)).To(Equal(http.StatusOK))
+		Expect(post(`{"fail_fast": 1}`)).To(Equal(http.StatusOK))
+		Expect(t.Faults()).To(Equal(target.Faults{Slow: 5, Late: 1, LateMs: 1, FailFast: 1}))
+		Expect(post(`{"fial_fast": 1}`)).To(Equal(http.StatusBadRequest))
+		Expect(do("r1", "").status).To(Equal(http.StatusInternalServerError))
+		Expect(post(`{"reset": true, "drain": false}`)).To(Equal(http.StatusOK))
+		Expect(do("r2", "").status).To(Equal(http.StatusOK))
+	})
+})
