holder, router: queue, slot, last check and send

Ruled out: forwarding queued calls to the new holder; a not-run refusal lets the receiver pick again and needs no second hop. Measured: five changes between slot and first byte (lease lost, new epoch, failure domain out, configuration unconfirmed, deadline) each end as not run with nothing sent.

--- /dev/null
+++ b/internal/holder/holder_test.go
@@ -0,0 +1,208 @@
+package holder_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/call"
+	"goldcresthinge.example/goldcresthinge/internal/holder"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/lease"
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+func TestHolder(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Holder Suite")
+}
+
+var poolA = inventory.PoolID{Service: "seats", FailureDomain: "a"}
+
+type fakeOwnership struct {
+	mode  lease.Mode
+	epoch uint64
+}
+
+func (o *fakeOwnership) Mode(time.Time) lease.Mode { return o.mode }
+
+func (o *fakeOwnership) Holds(inventory.PoolID) (uint64, bool) { return o.epoch, true }
+
+// fakeSender runs the check and answers with an empty body. before runs ahead
+// of the check, as a fault between slot and first byte.
+type fakeSender struct {
+	before func()
+	sent   int
+}
+
+func (s *fakeSender) Send(_ context.Context, _ inventory.Target, _ int, _ *call.Call, check func() error) (*call.Answer, error) {
+	if s.before != nil {
+		s.before()
+	}
+	if err := check(); err != nil {
+		return nil, err
+	}
+	s.sent++
+	return &call.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x")), Length: 1}, nil
+}
+
+func document(out ...string) *inventory.Document {
+	d := &inventory.Document{
+		Regions:        []inventory.Region{{Name: "r", Store: true}},
+		FailureDomains: []inventory.FailureDomain{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+		Services: []inventory.Service{{
+			Name:    "seats",
+			Targets: []inventory.Target{{Name: "t1", Address: "127.0.0.1:1", FailureDomain: "a"}},
+		}},
+		Rules: inventory.Rules{OutOfService: out},
+	}
+	d.SetDefaults()
+	return d
+}
+
+var _ = Describe("Holder", func() {
+	var (
+		clock *quartz.Mock
+		owner *fakeOwnership
+		send  *fakeSender
+		snap  *inventory.Snapshot
+		ready bool
+		h     *holder.Holder
+	)
+
+	BeforeEach(func() {
+		clock = quartz.NewMock(GinkgoTB())
+		owner = &fakeOwnership{mode: lease.Valid, epoch: 1}
+		send = &fakeSender{}
+		snap = inventory.NewSnapshot(1, document())
+		ready = true
+		h = holder.New(holder.Config{
+			Self: vm.Info{ID: "vm-1", Region: "r", FailureDomain: "a"}, Ownership: owner, Sender: send,
+			Snapshot: func() *inventory.Snapshot { return snap },
+			Ready:    func(time.Time) bool { return ready },
+			Clock:    clock, Log: log.NewNopLogger(), Scope: tally.NoopScope, QueuePerSlot: 10,
+		})
+		h.TakePool(poolA, 1, nil, false)
+		clock.Advance(time.Second) // the ramp of a cold target starts with a pause
+	})
+
+	do := func(ctx context.Context) (*call.Answer, *outcome.Error) {
+		answer, err := h.Do(ctx, &call.Call{
+			Service: "seats", FailureDomain: "a", Method: http.MethodPost,
+			Deadline: clock.Now().Add(time.Minute),
+		})
+		if err != nil {
+			return nil, outcome.FromError(err)
+		}
+		return answer, nil
+	}
+	notRun := func(reason outcome.Reason) {
+		GinkgoHelper()
+		answer, e := do(context.Background())
+		Expect(answer).To(BeNil())
+		Expect(e.Kind).To(Equal(outcome.NotRun))
+		Expect(e.Reason).To(Equal(reason))
+		Expect(send.sent).To(BeZero())
+	}
+
+	It("sends a call and takes the slot back at the end of the answer", func() {
+		for range 3 {
+			answer, e := do(context.Background())
+			Expect(e).To(BeNil())
+			_, _ = io.Copy(io.Discard, answer.Body)
+			Expect(answer.Body.Close()).To(Succeed())
+			clock.Advance(time.Second)
+		}
+		Expect(send.sent).To(Equal(3))
+	})
+
+	// Each entry is a change between the moment a call gets its slot and the
+	// moment its first byte would leave: a paused process resumes there.
+	DescribeTable("sends nothing after a change between slot and first byte",
+		func(change func(), reason outcome.Reason) {
+			send.before = change
+			notRun(reason)
+		},
+		Entry("lease lost", func() { owner.mode = lease.Lost }, outcome.ReasonLeaseLost),
+		Entry("new holder", func() { owner.epoch = 2 }, outcome.ReasonNotHolder),
+		Entry("failure domain out", func() { snap = inventory.NewSnapshot(2, document("a")) }, outcome.ReasonOutOfService),
+		Entry("configuration not confirmed", func() { ready = false }, outcome.ReasonNotReady),
+		Entry("deadline passed", func() { clock.Advance(2 * time.Minute) }, outcome.ReasonDeadline),
+	)
+
+	// Guards against queued calls that reach a failure domain after operators
+	// took it out.
+	It("refuses queued calls when the failure domain is taken out", func() {
+		first, e := do(context.Background())
+		Expect(e).To(BeNil())
+		refused := make(chan *outcome.Error, 1)
+		go func() {
+			_, e := do(context.Background())
+			refused <- e
+		}()
+		Eventually(func() uint32 { return h.Load(poolA).GetWaiting() }).Should(Equal(uint32(1)))
+		old := snap
+		snap = inventory.NewSnapshot(2, document("a"))
+		h.ApplySnapshot(old, snap)
+		Expect((<-refused).Reason).To(Equal(outcome.ReasonOutOfService))
+		Expect(first.Body.Close()).To(Succeed())
+		Expect(send.sent).To(Equal(1))
+	})
+
+	It("refuses queued calls as not run when the pool is dropped", func() {
+		first, e := do(context.Background())
+		Expect(e).To(BeNil())
+		refused := make(chan *outcome.Error, 1)
+		go func() {
+			_, e := do(context.Background())
+			refused <- e
+		}()
+		Eventually(func() uint32 { return h.Load(poolA).GetWaiting() }).Should(Equal(uint32(1)))
+		h.DropPool(poolA, 1)
+		Expect((<-refused).Reason).To(Equal(outcome.ReasonNotHolder))
+		Expect(first.Body.Close()).To(Succeed())
+	})
+
+	// Guards against slots that leak when callers leave the queue.
+	It("gives no slot to a caller that has gone", func() {
+		first, e := do(context.Background())
+		Expect(e).To(BeNil())
+		ctx, cancel := context.WithCancel(context.Background())
+		gone := make(chan *outcome.Error, 1)
+		go func() {
+			_, e := do(ctx)
+			gone <- e
+		}()
+		Eventually(func() uint32 { return h.Load(poolA).GetWaiting() }).Should(Equal(uint32(1)))
+		cancel()
+		Expect((<-gone).Reason).To(Equal(outcome.ReasonCanceled))
+		Expect(first.Body.Close()).To(Succeed())
+		clock.Advance(time.Second)
+		_, e = do(context.Background())
+		Expect(e).To(BeNil())
+	})
+
+	It("carries the state of targets through a handover", func() {
+		state := h.ExportPool(poolA)
+		Expect(state.GetTargets()).To(HaveLen(1))
+		Expect(state.GetEpoch()).To(Equal(uint64(1)))
+		h.TakePool(poolA, 2, &siblingpb.Handover{Targets: []*siblingpb.TargetState{
+			{Name: "t1", Limit: 2, Warm: true, InFlight: 2, BaselineUs: 1000},
+		}}, false)
+		owner.epoch = 2
+		Expect(h.Load(poolA).GetFree()).To(BeZero())
+		h.PredecessorDone(poolA, "t1", 1)
+		Expect(h.Load(poolA).GetFree()).To(Equal(uint32(1)))
+	})
+})
--- /dev/null
+++ b/internal/holder/probe.go
@@ -0,0 +1,112 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/lease"
+	"goldcresthinge.example/goldcresthinge/internal/measure"
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+	"goldcresthinge.example/goldcresthinge/internal/pool"
+)
+
+const probeTimeout = time.Second
+
+// loadReport is what targets answer to GET /load.
+type loadReport struct {
+	Slots    int    `json:"slots"`
+	InFlight int    `json:"in_flight"`
+	State    string `json:"state"`
+}
+
+// Prober sends the load probes that the pools of a Holder ask for.
+type Prober struct {
+	holder *Holder
+	client *http.Client
+}
+
+// NewProber returns a prober. Each probe uses a connection of its own, so that
+// a probe never reaches a target behind a call.
+func NewProber(h *Holder) *Prober {
+	return &Prober{
+		holder: h,
+		client: &http.Client{
+			Timeout: probeTimeout,
+			Transport: &http.Transport{
+				DisableKeepAlives:  true,
+				DisableCompression: true,
+				DialContext:        (&net.Dialer{Timeout: probeTimeout}).DialContext,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Due is a probe that a pool has paid for.
+type Due struct {
+	held   *held
+	target inventory.Target
+}
+
+// Next returns the probes that are due now. Probes are sent only while the
+// pool has no second sender: in Valid or Full mode.
+func (p *Prober) Next() []Due {
+	now := p.holder.cfg.Clock.Now()
+	mode := p.holder.cfg.Ownership.Mode(now)
+	if mode != lease.Valid && mode != lease.Full {
+		return nil
+	}
+	snap := p.holder.cfg.Snapshot()
+	var due []Due
+	for _, e := range p.holder.all() {
+		if snap.OutOfService(e.id.FailureDomain) {
+			continue
+		}
+		e.mu.Lock()
+		target, ok := e.state.NextProbe(now)
+		e.mu.Unlock()
+		if ok {
+			due = append(due, Due{held: e, target: target})
+		}
+	}
+	return due
+}
+
+// Probe sends one probe and applies its result.
+func (p *Prober) Probe(ctx context.Context, d Due) {
+	result := p.ask(ctx, d.target.Address)
+	p.holder.cfg.Scope.Counter("probes").Inc(1)
+	d.held.with(func(now time.Time) { d.held.state.ProbeDone(now, d.target.Name, result) })
+}
+
+func (p *Prober) ask(ctx context.Context, address string) pool.ProbeResult {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return pool.ProbeResult{}
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return pool.ProbeResult{
+			Refused: errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET),
+		}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var report loadReport
+	err = json.NewDecoder(io.LimitReader(resp.Body, measure.ProbeBytes)).Decode(&report)
+	result := pool.ProbeResult{
+		OK:       err == nil && resp.StatusCode == http.StatusOK,
+		Draining: report.State == "draining" || resp.Header.Get(outcome.HeaderLeaving) != "",
+		Instance: resp.Header.Get(outcome.HeaderInstance),
+	}
+	if report.Slots > 0 {
+		result.Load = float64(report.InFlight) / float64(report.Slots)
+	}
+	return result
+}
