--- /dev/null
+++ b/internal/ramp/ramp_test.go
@@ -0,0 +1,130 @@
+package ramp_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/ramp"
+)
+
+const ms = time.Millisecond
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func state(slots int) *ramp.State {
+	return ramp.New(t0, ramp.Config{Slots: slots, ColdRate: 10, GoodTime: 500 * ms}, ramp.FirstSeen)
+}
+
+// answers makes n calls of 20 ms, one after the other, and returns the end.
+func answers(s *ramp.State, from time.Time, n int) time.Time {
+	for range n {
+		s.Start(from)
+		s.Done(from.Add(20*ms), from, 20*ms, true)
+		from = from.Add(100 * ms)
+	}
+	return from
+}
+
+// Guards against a ramp other than the stated one.
+func TestRampSteps(t *testing.T) {
+	g := NewWithT(t)
+	s := state(2)
+	g.Expect(s.Ready()).To(Equal(t0.Add(100 * ms)))
+	now := t0
+	for step := range 8 {
+		g.Expect(s.Cause()).To(Equal(ramp.FirstSeen))
+		g.Expect(s.Limit()).To(Equal([]int{1, 1, 1, 1, 2, 2, 2, 2}[step]), "step %d", step)
+		g.Expect(s.Rate()).To(BeNumerically("~", []float64{10, 15, 22.5, 33.75, 50.625, 75.9375, 113.90625, 170.859375}[step], 1e-9))
+		now = answers(s, now, 8)
+	}
+	g.Expect(s.Cause()).To(Equal(ramp.Warm))
+	g.Expect(s.Rate()).To(BeZero())
+}
+
+// Guards against calls from before a cold sign that advance the new ramp.
+func TestCallsFromBeforeTheRestartDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	s := state(2)
+	now := answers(s, t0, 60)
+	s.Restart(now, ramp.ConnectionLost)
+	for range 20 {
+		s.Done(now.Add(20*ms), now.Add(-ms), 20*ms, true)
+	}
+	g.Expect(s.Rate()).To(Equal(10.0))
+	g.Expect(s.Ready()).To(BeTemporally(">", now.Add(-100*ms)))
+}
+
+// Guards against a jump to untried limits when the half cap is lifted.
+func TestHalfCapEarnsNothingBeyondItself(t *testing.T) {
+	g := NewWithT(t)
+	s := state(4)
+	s.SetHalfCap(true)
+	now := answers(s, t0, 200)
+	g.Expect(s.Limit()).To(Equal(2))
+	s.SetHalfCap(false)
+	g.Expect(s.Limit()).To(Equal(2))
+	answers(s, now, 8)
+	g.Expect(s.Limit()).To(Equal(3))
+}
+
+// Guards against ramp steps and cold targets in use in reduced mode.
+func TestReducedModeTakesNoSteps(t *testing.T) {
+	g := NewWithT(t)
+	s := state(2)
+	s.SetReduced(true)
+	g.Expect(s.Limit()).To(BeZero())
+	answers(s, t0, 100)
+	s.SetReduced(false)
+	g.Expect(s.Rate()).To(Equal(10.0))
+}
+
+// Guards against a slowdown that goes unnoticed, and against a restart because
+// of single slow calls.
+func TestSlowdown(t *testing.T) {
+	g := NewWithT(t)
+	s := state(2)
+	now := answers(s, t0, 64)
+	for range 5 {
+		g.Expect(s.Done(now, now, 500*ms, true)).To(BeFalse())
+		g.Expect(s.Done(now, now, 500*ms, true)).To(BeFalse())
+		g.Expect(s.Done(now, now, 20*ms, true)).To(BeFalse())
+	}
+	g.Expect(s.Cause()).To(Equal(ramp.Warm))
+	s.Done(now, now, 500*ms, true)
+	s.Done(now, now, 500*ms, true)
+	g.Expect(s.Done(now, now, 500*ms, true)).To(BeTrue())
+	g.Expect(s.Cause()).To(Equal(ramp.Slowdown))
+}
+
+// Guards against a limit that shedding lowers below one or for good.
+func TestShedding(t *testing.T) {
+	g := NewWithT(t)
+	s := state(3)
+	now := answers(s, t0, 64)
+	g.Expect(s.Limit()).To(Equal(3))
+	for range 5 {
+		s.Shed()
+	}
+	g.Expect(s.Limit()).To(Equal(1))
+	now = answers(s, now, 8)
+	g.Expect(s.Limit()).To(Equal(2))
+	answers(s, now, 8)
+	g.Expect(s.Limit()).To(Equal(3))
+}
+
+// Guards against a handover that raises a limit or a rate.
+func TestResumeKeepsTheRampPosition(t *testing.T) {
+	g := NewWithT(t)
+	cfg := ramp.Config{Slots: 3, ColdRate: 10, GoodTime: 500 * ms}
+	s := state(3)
+	now := t0
+	for range 9 {
+		r := ramp.Resume(now, cfg, s.Rate(), s.Earned(), s.Baseline())
+		g.Expect(r.Rate()).To(BeNumerically("~", s.Rate(), 1e-9))
+		g.Expect(r.Limit()).To(Equal(s.Limit()))
+		now = answers(s, now, 8)
+	}
+	g.Expect(ramp.Resume(now, cfg, 0, 1, 0).Limit()).To(Equal(1), "a limit lowered by shedding")
+}
