Add inventory parsing and a first version of the rollout

Cause: the daemon and the other packages wire against Current, Subscribe, Apply and Run. Ruled out: an object name without digest (two racing operators would overwrite each other's document); a delta over text lines (depends on formatting); settling a lost answer only by reading the head (a late commit could still arrive), so the same transaction is repeated. Change: Parse, Check, Validate, Warnings, Diff and deltas; versions by compare-and-set, push, pull and poll; ConfigDeltas tells the sender's version and confirmation; empty YAML fields are omitted in the canonical text. Conclusion: usable for wiring; tests of distribution, start-up and deltas follow.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -6,7 +6,7 @@
 type Document struct {
 	Regions        []Region        `yaml:"regions"`
 	FailureDomains []FailureDomain `yaml:"failure_domains"`
-	Links          []Link          `yaml:"links"`
+	Links          []Link          `yaml:"links,omitempty"`
 	Services       []Service       `yaml:"services"`
 	Rules          Rules           `yaml:"rules"`
 }
@@ -16,10 +16,10 @@
 	Name string `yaml:"name"`
 	// Store is true for the region that the platform's store stands in.
 	// Exactly one region has it.
-	Store bool `yaml:"store"`
+	Store bool `yaml:"store,omitempty"`
 	// MeasureBytesPerSecond bounds load probes in this region. Unit: bytes/s.
 	// Default: 20000.
-	MeasureBytesPerSecond float64 `yaml:"measure_bytes_per_s"`
+	MeasureBytesPerSecond float64 `yaml:"measure_bytes_per_s,omitempty"`
 }
 
 // FailureDomain is a group of machines that fail together.
@@ -36,7 +36,7 @@
 	BytesPerSecond float64 `yaml:"bytes_per_s"`
 	// MeasureBytesPerSecond bounds load probes over the link. Unit: bytes/s.
 	// Default: 0, since a holder stands in the region of its targets.
-	MeasureBytesPerSecond float64 `yaml:"measure_bytes_per_s"`
+	MeasureBytesPerSecond float64 `yaml:"measure_bytes_per_s,omitempty"`
 }
 
 // Service is a group of targets that answer the same requests.
@@ -54,7 +54,7 @@
 	ColdRate float64 `yaml:"cold_rate"`
 	// CallTimeoutMs bounds one call at a target. Unit: ms. Default: 2000.
 	CallTimeoutMs int      `yaml:"call_timeout_ms"`
-	Targets       []Target `yaml:"targets"`
+	Targets       []Target `yaml:"targets,omitempty"`
 }
 
 // Target is one backend server process.
@@ -67,22 +67,22 @@
 // Rules are the decisions of operators on top of the inventory.
 type Rules struct {
 	Routes  []Route  `yaml:"routes"`
-	Tenants []Tenant `yaml:"tenants"`
+	Tenants []Tenant `yaml:"tenants,omitempty"`
 	// OutOfService names the failure domains that get no new work.
-	OutOfService []string `yaml:"out_of_service"`
+	OutOfService []string `yaml:"out_of_service,omitempty"`
 }
 
 // Route maps requests to a service. The longest matching path prefix wins.
 type Route struct {
 	Name       string   `yaml:"name"`
 	PathPrefix string   `yaml:"path_prefix"`
-	Methods    []string `yaml:"methods,flow"` // empty: all
+	Methods    []string `yaml:"methods,omitempty,flow"` // empty: all
 	Service    string   `yaml:"service"`
 	// HomeRegions are the only regions that may serve, send or keep requests
 	// of this route. Empty: all regions.
-	HomeRegions []string `yaml:"home_regions,flow"`
+	HomeRegions []string `yaml:"home_regions,omitempty,flow"`
 	// NonIdempotent requests run at most once and need an Idempotency-Key.
-	NonIdempotent bool `yaml:"non_idempotent"`
+	NonIdempotent bool `yaml:"non_idempotent,omitempty"`
 	// DeadlineMs is the time for a call that brings no deadline. Unit: ms.
 	// Default: 2000.
 	DeadlineMs int `yaml:"deadline_ms"`
@@ -91,7 +91,7 @@
 // Tenant binds the requests of a tenant to regions.
 type Tenant struct {
 	Name        string   `yaml:"name"`
-	HomeRegions []string `yaml:"home_regions,flow"`
+	HomeRegions []string `yaml:"home_regions,omitempty,flow"`
 }
 
 // PoolID names a pool: the targets of one service in one failure domain.
--- /dev/null
+++ b/internal/inventory/warnings.go
@@ -0,0 +1,91 @@
+package inventory
+
+import (
+	"slices"
+	"strings"
+)
+
+// Warnings returns what is allowed in a valid document but probably not meant.
+// Warnings have no line numbers; Check adds them.
+func Warnings(doc *Document) []Fault { return warnings(doc, lineIndex{}) }
+
+func warnings(doc *Document, lines lineIndex) []Fault {
+	w := &warner{snap: NewSnapshot(0, doc), validator: &validator{doc: doc, lines: lines}}
+	root := position{}
+	for i := range doc.Services {
+		w.service(root.field("services").item(i, doc.Services[i].Name), &doc.Services[i])
+	}
+	for i := range doc.Rules.Routes {
+		w.route(root.field("rules").field("routes").item(i, doc.Rules.Routes[i].Name), &doc.Rules.Routes[i])
+	}
+	w.regions(root.field("rules").field("out_of_service"))
+	return w.faults
+}
+
+type warner struct {
+	*validator
+	snap *Snapshot
+}
+
+func (w *warner) service(at position, s *Service) {
+	pools := w.snap.Pools(s.Name)
+	if len(pools) == 0 {
+		w.fault(at.field("targets"), "service has no targets")
+		return
+	}
+	inService := func(id PoolID) bool { return !w.snap.OutOfService(id.FailureDomain) }
+	if !slices.ContainsFunc(pools, inService) {
+		w.fault(at.field("targets"), "all targets are in failure domains out of service")
+	}
+}
+
+func (w *warner) route(at position, r *Route) {
+	store := w.snap.StoreRegion()
+	if r.NonIdempotent && len(r.HomeRegions) > 0 && !slices.Contains(r.HomeRegions, store) {
+		w.fault(at.field("home_regions"),
+			"requests must run at most once, but home regions %s exclude %s, the region of the store: they are refused as not run (no-claim-store)",
+			strings.Join(r.HomeRegions, ", "), store)
+	}
+	if len(r.HomeRegions) > 0 && !w.servedIn(r.Service, r.HomeRegions) {
+		w.fault(at.field("home_regions"), "service %s has no targets in %s", r.Service, strings.Join(r.HomeRegions, ", "))
+	}
+	for _, t := range w.doc.Rules.Tenants {
+		regions, bound := w.snap.HomeRegions(r, t.Name)
+		switch {
+		case len(t.HomeRegions) == 0 || !bound:
+		case len(regions) == 0:
+			w.fault(at.field("home_regions"), "requests of tenant %s are served nowhere: its home regions are %s",
+				t.Name, strings.Join(t.HomeRegions, ", "))
+		case r.NonIdempotent && !slices.Contains(regions, store) && (len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, store)):
+			w.fault(at, "requests of tenant %s must run at most once, but its home regions %s exclude %s, the region of the store: they are refused as not run (no-claim-store)",
+				t.Name, strings.Join(t.HomeRegions, ", "), store)
+		}
+	}
+}
+
+func (w *warner) servedIn(service string, regions []string) bool {
+	return slices.ContainsFunc(w.snap.Pools(service), func(id PoolID) bool {
+		return slices.Contains(regions, w.snap.RegionOf(id.FailureDomain))
+	})
+}
+
+func (w *warner) regions(at position) {
+	for _, r := range w.doc.Regions {
+		total, out := 0, 0
+		for _, d := range w.doc.FailureDomains {
+			if d.Region != r.Name {
+				continue
+			}
+			total++
+			if w.snap.OutOfService(d.Name) {
+				out++
+			}
+		}
+		switch total {
+		case 0:
+			w.fault(position{}.field("regions"), "region %s has no failure domain", r.Name)
+		case out:
+			w.fault(at, "all %d failure domains of region %s are out of service", total, r.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/fakes_test.go
@@ -0,0 +1,206 @@
+package rollout_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/coder/quartz"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+	"goldcresthinge.example/goldcresthinge/internal/rollout"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+func TestRollout(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rollout")
+}
+
+// store is a platform store in memory. The hooks make it fail.
+type store struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	last    uint64
+	down    bool
+	// loseAnswers is the number of commits that take effect without an answer.
+	loseAnswers int
+	// dropCommits is the number of commits that have no effect and no answer.
+	dropCommits int
+	beforePut   func() // runs once, before the next Put
+}
+
+func newStore() *store {
+	return &store{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+}
+
+func (s *store) Get(_ context.Context, key string) (platform.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	if row, ok := s.rows[key]; ok {
+		return row, nil
+	}
+	return platform.Row{}, platform.ErrNotFound
+}
+
+func (s *store) Scan(context.Context, string, int) ([]platform.Row, error) {
+	return nil, errors.New("not used")
+}
+
+func (s *store) Commit(_ context.Context, ops []platform.Op) ([]platform.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, platform.ErrUnavailable
+	}
+	if s.dropCommits > 0 {
+		s.dropCommits--
+		return nil, platform.ErrUncertain
+	}
+	for _, op := range ops {
+		if row := s.rows[op.Key]; row.Version != op.IfVersion {
+			return nil, &platform.ConflictError{Rows: []platform.Row{row}}
+		}
+	}
+	for _, op := range ops {
+		s.last++
+		if op.Delete {
+			delete(s.rows, op.Key)
+			continue
+		}
+		s.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: s.last}
+	}
+	if s.loseAnswers > 0 {
+		s.loseAnswers--
+		return nil, platform.ErrUncertain
+	}
+	return make([]platform.Row, len(ops)), nil
+}
+
+func (s *store) Put(_ context.Context, name string, data []byte) error {
+	if hook := s.beforePut; hook != nil {
+		s.beforePut = nil
+		hook()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.ErrUnavailable
+	}
+	s.objects[name] = data
+	return nil
+}
+
+// objectStore gives the object store the name Get, which the table also has.
+type objectStore struct{ *store }
+
+func (o objectStore) Get(_ context.Context, name string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, platform.ErrUnavailable
+	}
+	if data, ok := o.objects[name]; ok {
+		return data, nil
+	}
+	return nil, platform.ErrNotFound
+}
+
+// network connects the VMs of a test in memory.
+type network struct {
+	mu    sync.Mutex
+	vms   map[string]*node // by sibling address
+	clock *quartz.Mock
+	store *store
+}
+
+type node struct {
+	*rollout.Store
+	info   vm.Info
+	net    *network
+	cut    bool // no exchange reaches it
+	pulls  []uint64
+	pushes int
+}
+
+func newNetwork(t quartz.TestingT) *network {
+	return &network{vms: map[string]*node{}, clock: quartz.NewMock(t), store: newStore()}
+}
+
+func (n *network) add(id, region string, seeds ...string) *node {
+	v := &node{net: n, info: vm.Info{ID: vm.ID(id), Region: region, FailureDomain: region + "-a", SiblingAddress: id + ":1"}}
+	changes := 0
+	v.Store = rollout.New(rollout.Config{
+		Self: v.info, Table: n.store, Objects: objectStore{n.store}, Peers: v, Seeds: seeds, Clock: n.clock,
+		Jitter: func() float64 { return 0.5 },
+		Nonce:  func() string { changes++; return fmt.Sprintf("%s-%d", id, changes) },
+	})
+	n.vms[v.info.SiblingAddress] = v
+	return v
+}
+
+func (v *node) Siblings() []vm.Info {
+	v.net.mu.Lock()
+	defer v.net.mu.Unlock()
+	var list []vm.Info
+	for _, other := range v.net.vms {
+		if other != v {
+			list = append(list, other.info)
+		}
+	}
+	return list
+}
+
+func (v *node) Exchange(ctx context.Context, to vm.Info, req *siblingpb.Request) (*siblingpb.Response, error) {
+	v.net.mu.Lock()
+	other := v.net.vms[to.SiblingAddress]
+	lost := other == nil || other.cut || v.cut
+	if !lost {
+		switch kind := req.Kind.(type) {
+		case *siblingpb.Request_PullConfig:
+			other.pulls = append(other.pulls, kind.PullConfig.HaveVersion)
+		case *siblingpb.Request_PushConfig:
+			other.pushes++
+		}
+	}
+	v.net.mu.Unlock()
+	if lost {
+		return nil, errors.New("no route")
+	}
+	switch kind := req.Kind.(type) {
+	case *siblingpb.Request_PullConfig:
+		return &siblingpb.Response{Kind: &siblingpb.Response_Config{Config: other.HandlePull(kind.PullConfig.HaveVersion)}}, nil
+	case *siblingpb.Request_PushConfig:
+		ack := &siblingpb.Ack{Ok: true}
+		if err := other.HandlePush(ctx, kind.PushConfig); err != nil {
+			ack = &siblingpb.Ack{Error: err.Error()}
+		}
+		return &siblingpb.Response{Kind: &siblingpb.Response_Ack{Ack: ack}}, nil
+	}
+	return nil, errors.New("unexpected request")
+}
+
+// example returns the document of the Authority, with failure domains out.
+func example(out ...string) []byte {
+	text, err := os.ReadFile("../../examples/authority.yaml")
+	Expect(err).NotTo(HaveOccurred())
+	return []byte(strings.Replace(string(text), "out_of_service: []", "out_of_service: ["+strings.Join(out, ", ")+"]", 1))
+}
+
+func (v *node) version() uint64 {
+	if snap := v.Current(); snap != nil {
+		return snap.Version
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,203 @@
+// Package rollout keeps the configuration of an entry VM at the version that
+// the platform's store holds. A version is accepted by compare-and-set, pushed
+// to siblings, pulled from siblings that have a higher one, and read from the
+// store. Versions only go up.
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/membership"
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// Peers are the siblings of this VM.
+type Peers interface {
+	membership.Exchanger
+	// Siblings returns the known siblings of all regions, without this VM.
+	Siblings() []vm.Info
+}
+
+// Config holds the collaborators of a Store. Self, Table, Objects and Peers
+// are required.
+type Config struct {
+	Self    vm.Info
+	Table   platform.Table
+	Objects platform.ObjectStore
+	VMs     platform.VMList // nil: no list
+	Peers   Peers
+	Seeds   []string       // sibling addresses to ask before any sibling is known
+	Clock   quartz.Clock   // nil: the real clock
+	Logger  log.Logger     // nil: no log
+	Metrics tally.Scope    // nil: no metrics
+	Jitter  func() float64 // in [0,1); nil: random
+	Nonce   func() string  // unique per change; nil: random
+}
+
+// version is one configuration in force, with its canonical text.
+type version struct {
+	snap   *inventory.Snapshot
+	text   []byte
+	digest string
+	gzip   func() ([]byte, error) // compressed text, made once
+}
+
+func newVersion(number uint64, doc *inventory.Document, text []byte, digest string) *version {
+	return &version{
+		snap: inventory.NewSnapshot(number, doc), text: text, digest: digest,
+		gzip: sync.OnceValues(func() ([]byte, error) { return inventory.Compress(text) }),
+	}
+}
+
+// Store is the configuration of this VM. All methods are safe for concurrent
+// use.
+type Store struct {
+	Config
+	current atomic.Pointer[version]
+	kick    chan struct{} // a higher version was seen
+	fetchMu chan struct{} // held while versions are fetched; no other lock is taken with it
+
+	// installMu orders installations and calls of subscribers.
+	installMu   sync.Mutex
+	subscribers []func(*inventory.Snapshot)
+
+	mu       sync.Mutex // taken after installMu
+	progress progress
+	history  map[uint64]*siblingpb.ConfigDelta // by from_version
+	listed   []platform.VMEntry                // the platform's list as last read
+}
+
+// New returns a store without a version. Run must be called to keep it up to
+// date.
+func New(c Config) *Store {
+	if c.Clock == nil {
+		c.Clock = quartz.NewReal()
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	if c.Metrics == nil {
+		c.Metrics = tally.NoopScope
+	}
+	if c.Jitter == nil {
+		c.Jitter = rand.Float64
+	}
+	if c.Nonce == nil {
+		c.Nonce = func() string {
+			return string(c.Self.ID) + "-" + strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36)
+		}
+	}
+	c.Logger = log.With(c.Logger, "part", "rollout")
+	return &Store{
+		Config:  c,
+		kick:    make(chan struct{}, 1),
+		fetchMu: make(chan struct{}, 1),
+		history: map[uint64]*siblingpb.ConfigDelta{},
+	}
+}
+
+// Current returns the snapshot in force, or nil before the first version.
+func (s *Store) Current() *inventory.Snapshot {
+	if v := s.current.Load(); v != nil {
+		return v.snap
+	}
+	return nil
+}
+
+// Document returns the version in force and its canonical YAML text, or 0 and
+// nil before the first version. The caller must not change the text.
+func (s *Store) Document() (number uint64, text []byte) {
+	if v := s.current.Load(); v != nil {
+		return v.snap.Version, v.text
+	}
+	return 0, nil
+}
+
+// Subscribe calls fn with each version that comes into force, in order, and
+// once at once if there is a version already. Calls of fn never overlap. fn
+// must not block for long and must not call Subscribe, Apply or HandlePush.
+func (s *Store) Subscribe(fn func(*inventory.Snapshot)) {
+	s.installMu.Lock()
+	defer s.installMu.Unlock()
+	s.subscribers = append(s.subscribers, fn)
+	if snap := s.Current(); snap != nil {
+		fn(snap)
+	}
+}
+
+// install puts a version in force, unless the one in force is as high. via is
+// the delta that led to it, or nil for a whole document.
+func (s *Store) install(v *version, via *siblingpb.ConfigDelta) {
+	s.installMu.Lock()
+	defer s.installMu.Unlock()
+	old := s.current.Load()
+	number := v.snap.Version
+	if old != nil && old.snap.Version >= number {
+		return
+	}
+	s.current.Store(v)
+	s.mu.Lock()
+	s.progress.installed(number)
+	if via != nil {
+		s.history[via.FromVersion] = via
+		if number > keepDeltas {
+			delete(s.history, number-keepDeltas)
+		}
+	} else {
+		clear(s.history) // no chain of deltas leads to a whole document
+	}
+	s.mu.Unlock()
+	s.Metrics.Gauge("config_version").Update(float64(number))
+	s.log("msg", fmt.Sprintf("version %d is in force", number), "digest", v.digest)
+	for _, fn := range s.subscribers {
+		fn(v.snap)
+	}
+}
+
+// ObserveSibling notes the version of a sibling and pulls if it is higher. For
+// the response to an own request, now is the time at which the request was
+// written, and confirmedAge is the age that the sibling gave. For a request of
+// the sibling, confirmedAge must be NotConfirmed: a paused VM may read an old
+// request that says that its old version was confirmed a moment ago.
+func (s *Store) ObserveSibling(now time.Time, from vm.Info, version uint64, confirmedAge time.Duration) {
+	if from.ID == s.Self.ID {
+		return
+	}
+	s.mu.Lock()
+	s.progress.observe(now, from, version, confirmedAge)
+	behind := s.progress.behind()
+	s.mu.Unlock()
+	if behind {
+		s.wake()
+	}
+}
+
+// Confirmed returns the age of the confirmation of the version in force. ok is
+// false above ConfirmLimit and before the first version.
+func (s *Store) Confirmed(now time.Time) (age time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.progress.confirmed(now)
+}
+
+// wake lets Run fetch without waiting for its timer.
+func (s *Store) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Store) log(keyvals ...any) { _ = s.Logger.Log(keyvals...) }
