--- a/internal/inventory/parse.go
+++ b/internal/inventory/parse.go
@@ -114,6 +114,7 @@
 var (
 	yamlLine     = regexp.MustCompile(`^(?:yaml: )?(?:unmarshal errors:\s+)?line (\d+): (.*)$`)
 	unknownField = regexp.MustCompile(`^field (.*) not found in type \S+$`)
+	wrongType    = regexp.MustCompile("^cannot unmarshal !!(\\S+)(?: `(.*)`)? into (\\S+)$")
 )
 
 // yamlFaults turns an error of the YAML library into faults with line numbers.
@@ -133,11 +134,38 @@
 		if m := unknownField.FindStringSubmatch(f.Reason); m != nil {
 			f.Reason = fmt.Sprintf("unknown field %q", m[1])
 		}
+		if m := wrongType.FindStringSubmatch(f.Reason); m != nil {
+			f.Reason = typeReason(m[1], m[2], m[3])
+		}
 		faults = append(faults, f)
 	}
 	return faults
 }
 
+// typeReason says what a value should be in place of what it is. got is a YAML
+// type, want a Go type.
+func typeReason(got, value, want string) string {
+	expected := "a group of fields"
+	switch {
+	case want == "int":
+		expected = "a whole number"
+	case want == "float64":
+		expected = "a number"
+	case want == "bool":
+		expected = "true or false"
+	case want == "string":
+		expected = "a text"
+	case strings.HasPrefix(want, "["):
+		expected = "a list"
+	}
+	if value == "" {
+		value = map[string]string{"seq": "a list", "map": "a group of fields"}[got]
+	} else {
+		value = strconv.Quote(value)
+	}
+	return strings.TrimSpace(fmt.Sprintf("%s is not %s", value, expected))
+}
+
 // Encode returns the canonical YAML text of a document: all defaults filled
 // in, entries in their order, no comments. Digest is taken over this text.
 func Encode(doc *Document) ([]byte, error) {
