--- /dev/null
+++ b/internal/rollout/report.go
@@ -0,0 +1,85 @@
+package rollout
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// State is what is known of a version at one VM.
+type State string
+
+// States of a version at a VM.
+const (
+	// InForce: the VM says that it has the version or a higher one.
+	InForce State = "in-force"
+	// NotInForce: the VM says that it has a lower version.
+	NotInForce State = "not-confirmed"
+	// NotHeard: the VM does not respond, so it may have any version.
+	NotHeard State = "not-heard"
+)
+
+// VMReport is the version at one VM.
+type VMReport struct {
+	VM      vm.Info
+	State   State
+	Version uint64 // 0: none, or not heard of
+	// Age of the VM's confirmation of its version. Confirmed is false above
+	// ConfirmLimit.
+	Age       time.Duration
+	Confirmed bool
+	Leaving   bool // by the platform's list
+}
+
+// Report asks every known VM for its version and returns what is known of
+// version at each, this VM included, by region and ID. It takes at most about
+// siblingTimeout plus the read of the platform's list.
+func (s *Store) Report(ctx context.Context, version uint64) []VMReport {
+	asked := s.everyone(ctx)
+	start := s.Clock.Now()
+	s.askAll(ctx, asked)
+	now := s.Clock.Now()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leaving := map[string]bool{}
+	for _, e := range s.listed {
+		leaving[e.Address] = e.Leaving
+	}
+	heard := map[string]sibling{}
+	for _, sib := range s.progress.siblings {
+		if !sib.heard.Before(start) {
+			heard[sib.info.SiblingAddress] = sib
+		}
+	}
+	age, ok := s.progress.confirmed(now)
+	reports := []VMReport{{
+		VM: s.Self, State: stateOf(s.progress.current, version), Version: s.progress.current,
+		Age: age, Confirmed: ok, Leaving: leaving[s.Self.SiblingAddress],
+	}}
+	for _, v := range asked {
+		r := VMReport{VM: v, State: NotHeard, Leaving: leaving[v.SiblingAddress]}
+		if sib, ok := heard[v.SiblingAddress]; ok {
+			r.VM, r.Version, r.State = sib.info, sib.version, stateOf(sib.version, version)
+			if !sib.confirmedAt.IsZero() {
+				r.Age = elapsed(sib.confirmedAt, now)
+				r.Confirmed = r.Age <= ConfirmLimit
+			}
+		}
+		reports = append(reports, r)
+	}
+	slices.SortFunc(reports, func(a, b VMReport) int {
+		return cmp.Or(cmp.Compare(a.VM.Region, b.VM.Region), cmp.Compare(a.VM.ID, b.VM.ID))
+	})
+	return reports
+}
+
+func stateOf(has, version uint64) State {
+	if has >= version {
+		return InForce
+	}
+	return NotInForce
+}
