Add operator API and operator tool

Cause: operators change the configuration, take failure domains out, drain VMs and need to see what is in force where. Ruled out: a default base version in apply (an edit of an old document would silently undo a newer change); sending a change to a second VM after the first may have accepted it; a 409 for out and return while others change the document (the rule does not depend on the rest, so it is repeated on the newest version). Change: huma API in internal/operator, goldcresthingectl with documented exit codes.

--- /dev/null
+++ b/cmd/goldcresthingectl/main.go
@@ -0,0 +1,19 @@
+// Command goldcresthingectl is the operator tool.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"goldcresthinge.example/goldcresthinge/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	tool := ctl.Tool{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
+	code := tool.Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,79 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/danielgtaylor/huma/v2"
+)
+
+type statusInput struct {
+	Version uint64 `query:"version" doc:"version to report on, default: the one in force at this VM"`
+}
+
+// Draining is the response to a drain.
+type Draining struct {
+	ID       string `json:"id"`
+	Draining bool   `json:"draining"`
+}
+
+func (a *api) registerStatus(h huma.API) {
+	huma.Register(h, operation(http.MethodGet, "/v1/status", "status", "Status of this VM and of the configuration everywhere"), a.status)
+	huma.Register(h, operation(http.MethodGet, "/v1/targets", "targets", "Targets of the pools that this VM holds"),
+		func(context.Context, *struct{}) (*output[[]Target], error) {
+			return &output[[]Target]{Body: orEmpty(a.Process.Targets(a.Now()))}, nil
+		})
+	huma.Register(h, operation(http.MethodGet, "/v1/holders", "holders", "Holders of the pools of the region"),
+		func(context.Context, *struct{}) (*output[[]Holder], error) {
+			return &output[[]Holder]{Body: orEmpty(a.Process.Holders(a.Now()))}, nil
+		})
+	huma.Register(h, operation(http.MethodGet, "/v1/state", "state", "Dump of the whole state of this VM"),
+		func(context.Context, *struct{}) (*output[any], error) {
+			return &output[any]{Body: a.Process.Dump(a.Now())}, nil
+		})
+	drain := operation(http.MethodPost, "/v1/drain", "drain", "Start a graceful shutdown of this VM")
+	drain.DefaultStatus = http.StatusAccepted
+	huma.Register(h, drain, func(context.Context, *struct{}) (*output[Draining], error) {
+		a.log("msg", "drain requested by an operator")
+		a.Process.Drain()
+		return &output[Draining]{Body: Draining{ID: a.Process.Process(a.Now()).ID, Draining: true}}, nil
+	})
+	huma.Register(h, operation(http.MethodGet, "/v1/healthz", "healthz", "The process runs"),
+		func(context.Context, *struct{}) (*output[map[string]bool], error) {
+			return &output[map[string]bool]{Body: map[string]bool{"healthy": true}}, nil
+		})
+	huma.Register(h, operation(http.MethodGet, "/v1/readyz", "readyz", "This VM may get calls"), a.readyz)
+}
+
+// orEmpty makes an empty list of JSON, not null.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
+func (a *api) status(ctx context.Context, in *statusInput) (*output[Status], error) {
+	s := Status{ProcessStatus: a.Process.Process(a.Now()), OutOfService: []string{}}
+	if snap := a.Configuration.Current(); snap != nil {
+		s.Version = snap.Version
+		s.OutOfService = append(s.OutOfService, snap.Document.Rules.OutOfService...)
+	}
+	age, ok := a.Configuration.Confirmed(a.Now())
+	s.Confirmed, s.AgeMs = ok, age.Milliseconds()
+	version := in.Version
+	if version == 0 {
+		version = s.Version
+	}
+	s.VMs = orEmpty(a.vms(ctx, version))
+	return &output[Status]{Body: s}, nil
+}
+
+func (a *api) readyz(context.Context, *struct{}) (*output[map[string]bool], error) {
+	s := a.Process.Process(a.Now())
+	if !s.Ready {
+		return nil, &Problem{Status: http.StatusServiceUnavailable, Title: "not ready", Detail: strings.Join(s.NotReady, "; ")}
+	}
+	return &output[map[string]bool]{Body: map[string]bool{"ready": true}}, nil
+}
--- /dev/null
+++ b/internal/operator/types.go
@@ -0,0 +1,153 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/rollout"
+)
+
+// Configuration is the rollout of this VM; *rollout.Store implements it.
+type Configuration interface {
+	Current() *inventory.Snapshot
+	Document() (version uint64, text []byte)
+	Apply(ctx context.Context, base uint64, document []byte) (version uint64, err error)
+	Refresh(ctx context.Context) error
+	Report(ctx context.Context, version uint64) []rollout.VMReport
+	Confirmed(now time.Time) (age time.Duration, ok bool)
+}
+
+// Process is the part of the daemon that operators see and control. All
+// methods may be called from any goroutine.
+type Process interface {
+	// Drain starts a graceful shutdown and returns at once. A second call
+	// changes nothing.
+	Drain()
+	// Process returns the status of this VM.
+	Process(now time.Time) ProcessStatus
+	// Targets returns the targets of the pools that this VM holds.
+	Targets(now time.Time) []Target
+	// Holders returns the holders of the pools of the region of this VM.
+	Holders(now time.Time) []Holder
+	// Dump returns the whole state as a value for encoding/json. It holds
+	// nothing of a request.
+	Dump(now time.Time) any
+}
+
+// ProcessStatus is the status of this VM, apart from the configuration.
+type ProcessStatus struct {
+	ID            string `json:"id"`
+	Incarnation   uint64 `json:"incarnation"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	// Ready is false when the VM must get no calls; NotReady says why.
+	Ready    bool     `json:"ready"`
+	NotReady []string `json:"not_ready,omitempty"`
+	Draining bool     `json:"draining"`
+	// LeaseMode is valid, full, reduced or lost.
+	LeaseMode      string `json:"lease_mode"`
+	StoreReachable bool   `json:"store_reachable"`
+	CallsInFlight  int    `json:"calls_in_flight"`
+}
+
+// Target is the state of a target at the holder of its pool.
+type Target struct {
+	Service       string  `json:"service"`
+	FailureDomain string  `json:"failure_domain"`
+	Name          string  `json:"name"`
+	Address       string  `json:"address"`
+	Holder        string  `json:"holder"`
+	Slots         int     `json:"slots"`
+	Limit         int     `json:"limit"`
+	InFlight      int     `json:"in_flight"`
+	State         string  `json:"state"`               // warm, cold, ejected or leaving
+	Cause         string  `json:"cause,omitempty"`     // of the cold start
+	Rate          float64 `json:"rate,omitempty"`      // calls/s, 0: not limited
+	BaselineMs    float64 `json:"baseline_ms"`         // smoothed latency
+	Failures      int     `json:"failures"`            // consecutive
+	PausedMs      float64 `json:"paused_ms,omitempty"` // time until it gets work again
+	Instance      string  `json:"instance,omitempty"`  // as the target last named itself
+}
+
+// Holder is the holder of a pool.
+type Holder struct {
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure_domain"`
+	Holder        string `json:"holder,omitempty"` // empty: nobody holds the pool
+	Epoch         uint64 `json:"epoch"`
+	Handover      bool   `json:"handover,omitempty"`
+	Free          int    `json:"free"`
+	Waiting       int    `json:"waiting"`
+}
+
+// VM is the configuration at one VM.
+type VM struct {
+	ID            string `json:"id"`
+	Region        string `json:"region,omitempty"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+	Address       string `json:"address"`
+	// State is in-force, not-confirmed or not-heard.
+	State   string `json:"state"`
+	Version uint64 `json:"version,omitempty"`
+	// Confirmed is false if the VM has not heard within 5 s that its version
+	// is the highest accepted one. Age in ms.
+	Confirmed bool  `json:"confirmed"`
+	AgeMs     int64 `json:"age_ms"`
+	Leaving   bool  `json:"leaving,omitempty"`
+}
+
+// Applied is the result of an accepted change.
+type Applied struct {
+	Version  uint64            `json:"version"`
+	Changed  bool              `json:"changed"` // false: the configuration was as wanted already
+	Warnings []inventory.Fault `json:"warnings,omitempty"`
+	VMs      []VM              `json:"vms"`
+}
+
+// Checked is the result of a check of a valid document.
+type Checked struct {
+	Base     uint64             `json:"base"` // version that the changes lead from
+	Warnings []inventory.Fault  `json:"warnings,omitempty"`
+	Changes  []inventory.Change `json:"changes,omitempty"`
+}
+
+// Status is the status of this VM and of the configuration everywhere.
+type Status struct {
+	ProcessStatus
+	Version      uint64   `json:"version"` // 0: no configuration yet
+	Confirmed    bool     `json:"confirmed"`
+	AgeMs        int64    `json:"age_ms"`
+	OutOfService []string `json:"out_of_service"`
+	VMs          []VM     `json:"vms"`
+}
+
+// Document is the configuration in force.
+type Document struct {
+	Version  uint64 `json:"version"`
+	Digest   string `json:"digest"`
+	Document string `json:"document"` // canonical YAML
+}
+
+// Problem is the body of an error response.
+type Problem struct {
+	Status int    `json:"status"`
+	Title  string `json:"title"`
+	Detail string `json:"detail,omitempty"`
+	// Faults of a rejected document, by line.
+	Faults []inventory.Fault `json:"faults,omitempty"`
+	// CurrentVersion is set on a conflict.
+	CurrentVersion uint64 `json:"current_version,omitempty"`
+	// Uncertain is true if the change may have been accepted. In all other
+	// cases a failed change has changed nothing.
+	Uncertain bool `json:"uncertain,omitempty"`
+}
+
+// Error implements the error interface.
+func (p *Problem) Error() string { return p.Title + ": " + p.Detail }
+
+// GetStatus returns the HTTP status.
+func (p *Problem) GetStatus() int { return p.Status }
+
+// ContentType returns the media type of RFC 9457 for JSON.
+func (p *Problem) ContentType(string) string { return "application/problem+json" }
