--- a/internal/ctl/configuration.go
+++ b/internal/ctl/configuration.go
@@ -103,6 +103,11 @@
 }
 
 func (t *Tool) apply(ctx context.Context, a *applyArgs) int {
+	// The current version as default would let an edit of an old document undo
+	// a newer change.
+	if a.Base == nil {
+		return t.fail(&usageError{"apply needs --base with the version that the document is based on; diff shows it"})
+	}
 	data, _, err := t.parse(a.File)
 	if err != nil {
 		return t.fail(err)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -44,7 +44,7 @@
 type applyArgs struct {
 	fileArgs
 	waitArgs
-	Base *uint64 `arg:"--base,required" help:"version that the document is based on, as diff shows it; 0 for the first one"`
+	Base *uint64 `arg:"--base" help:"required: version that the document is based on, as diff shows it; 0 for the first one"`
 }
 
 type domainArgs struct {
