Add delaying TCP relay for tests

Cause: region links, cuts and byte budgets must be testable on loopback. Ruled out: a delay per write call, which adds up over bytes sent together; kernel traffic control, which needs rights and changes the machine. Change: package internal/standin/netlink: one-way delay, shared bandwidth, cut, freeze, byte counts and recorded bytes per direction. Relays must be put between processes by address.

--- /dev/null
+++ b/internal/standin/netlink/netlink_test.go
@@ -0,0 +1,148 @@
+package netlink
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestNetlink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Netlink")
+}
+
+// echoServer answers each line with "re:" and the line, and closes at the end
+// of the stream.
+func echoServer() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewScanner(c); in.Scan(); {
+					fmt.Fprintf(c, "re:%s\n", in.Text())
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+var _ = Describe("link", func() {
+	var link *Link
+	var relay *Relay
+
+	BeforeEach(func() {
+		link = New(time.Millisecond, 0)
+		DeferCleanup(link.Close)
+		var err error
+		relay, err = link.Relay("127.0.0.1:0", echoServer(), AToB)
+		Expect(err).NotTo(HaveOccurred())
+	})
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", relay.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		return c, bufio.NewReader(c)
+	}
+
+	It("passes bytes both ways, counts them and ends streams in order", func() {
+		c, in := dial()
+		fmt.Fprintf(c, "hello\n")
+		Expect(in.ReadString('\n')).To(Equal("re:hello\n"))
+		Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+		Expect(io.ReadAll(in)).To(BeEmpty())
+		Expect(link.Bytes(AToB)).To(Equal(int64(6)))
+		Expect(link.Bytes(BToA)).To(Equal(int64(9)))
+	})
+
+	It("finds recorded content in its direction only", func() {
+		link.Record(true)
+		c, in := dial()
+		fmt.Fprintf(c, "sec")
+		fmt.Fprintf(c, "ret\n")
+		Expect(in.ReadString('\n')).To(Equal("re:secret\n"))
+		Expect(link.Contains(AToB, []byte("secret"))).To(BeTrue())
+		Expect(link.Contains(AToB, []byte("re:secret"))).To(BeFalse())
+		Expect(link.Contains(BToA, []byte("re:secret"))).To(BeTrue())
+	})
+
+	It("does not claim absence from a record that was full", func() {
+		link.Record(true)
+		p := &pair{done: make(chan struct{})}
+		Expect(link.pass(p, AToB, make([]byte, maxRecorded))).To(BeTrue())
+		Expect(link.pass(p, AToB, []byte("x"))).To(BeTrue())
+		_, err := link.Contains(AToB, []byte("x"))
+		Expect(err).To(MatchError(ErrRecordFull))
+	})
+
+	It("resets connections while cut and takes new ones when healed", func() {
+		c, in := dial()
+		fmt.Fprintf(c, "a\n")
+		Expect(in.ReadString('\n')).To(Equal("re:a\n"))
+		link.Cut()
+		_, err := in.ReadByte()
+		Expect(err).To(HaveOccurred())
+		_, in = dial()
+		_, err = in.ReadByte()
+		Expect(err).To(HaveOccurred())
+		link.Heal()
+		c, in = dial()
+		fmt.Fprintf(c, "b\n")
+		Expect(in.ReadString('\n')).To(Equal("re:b\n"))
+	})
+
+	It("holds bytes back while frozen and delivers them after", func() {
+		c, in := dial()
+		fmt.Fprintf(c, "a\n")
+		Expect(in.ReadString('\n')).To(Equal("re:a\n"))
+		link.Freeze()
+		before := link.Bytes(AToB)
+		fmt.Fprintf(c, "b\n")
+		Consistently(func() int64 { return link.Bytes(AToB) }, "50ms").Should(Equal(before))
+		link.Thaw()
+		Expect(in.ReadString('\n')).To(Equal("re:b\n"))
+	})
+
+	It("keeps large streams whole under a bandwidth limit", func() {
+		link.SetBandwidth(AToB, 50e6)
+		c, in := dial()
+		line := append(bytes.Repeat([]byte("x"), 60000), '\n')
+		go func() {
+			for range 20 {
+				c.Write(line)
+			}
+		}()
+		for range 20 {
+			got, err := in.ReadBytes('\n')
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got).To(Equal(append([]byte("re:"), line...)))
+		}
+	})
+})
+
+// Guards against connections that each get the whole bandwidth, and against a
+// delay that adds up over bytes sent together.
+var _ = Describe("schedule", func() {
+	It("shares the bandwidth and adds the delay once", func() {
+		l := lane{delay: 12 * time.Millisecond, bytesPerSecond: 1000}
+		now := time.Unix(0, 0)
+		Expect(l.schedule(now, 500)).To(Equal(now.Add(512 * time.Millisecond)))
+		Expect(l.schedule(now, 500)).To(Equal(now.Add(1012 * time.Millisecond)))
+		later := now.Add(5 * time.Second)
+		Expect(l.schedule(later, 0)).To(Equal(later.Add(12 * time.Millisecond)))
+	})
+})
