Add load tool with scenarios, checks and demo

Cause: tail latency, the cost of measuring and the guarantees must be measured by one tool that also notices when they break. Ruled out: closed-loop callers, which send less to a stalled system and so hide its latency; counting a call that fails fast as a fast call. Change: package internal/load and program goldcresthinge-load with the subcommands run and demo; scenarios for both users; checks of wrong answers, requests run twice, requests outside home regions, false refusals and cold overloads. Entry VMs and the platform stand-in are handed in as a factory, empty here. Conclusion: the checks report faults that are switched on; the demo itself waits for the daemon.

--- /dev/null
+++ b/cmd/goldcresthinge-load/main.go
@@ -0,0 +1,29 @@
+// Command goldcresthinge-load generates load, runs experiments and the demo.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"goldcresthinge.example/goldcresthinge/internal/load"
+)
+
+// factory is filled in where entry VMs and the platform stand-in are part of
+// the build.
+var factory load.Factory
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return load.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, factory)
+}
--- /dev/null
+++ b/internal/load/fake_test.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"go.yaml.in/yaml/v3"
+
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+)
+
+// fakeSystem stands for the entry VMs: it passes each call to a random target.
+// The fields make it break a guarantee, so that tests see whether the tool
+// reports that.
+type fakeSystem struct {
+	hideTruncation bool // passes a truncated answer on as a whole one
+	ignoreHome     bool // sends bound requests to any region
+	sendTwice      bool
+	snapshot       atomic.Pointer[inventory.Snapshot]
+}
+
+type fakeServer struct{ *http.Server }
+
+func (s fakeServer) Address() string            { return s.Addr }
+func (s fakeServer) Stop(context.Context) error { return s.Close() }
+
+func serve(address string, h http.Handler) (fakeServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fakeServer{}, err
+	}
+	s := fakeServer{&http.Server{Addr: l.Addr().String(), Handler: h}}
+	go s.Serve(l)
+	return s, nil
+}
+
+func (f *fakeSystem) factory() Factory {
+	return Factory{
+		StartPlatform: func(_ context.Context, address string) (Platform, error) {
+			return serve(address, http.NotFoundHandler())
+		},
+		StartEntryVM: func(_ context.Context, spec EntryVMSpec) (EntryVM, error) {
+			return serve(spec.CallerAddress, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				f.serve(w, r, spec.Region)
+			}))
+		},
+		Apply: func(_ context.Context, _ EntryVMSpec, document []byte) error {
+			var doc inventory.Document
+			err := yaml.Unmarshal(document, &doc)
+			f.snapshot.Store(inventory.NewSnapshot(1, &doc))
+			return err
+		},
+		Ready: func(context.Context, EntryVMSpec) bool { return f.snapshot.Load() != nil },
+	}
+}
+
+func (f *fakeSystem) serve(w http.ResponseWriter, r *http.Request, region string) {
+	s := f.snapshot.Load()
+	route, _ := s.Route(r.Method, r.URL.Path)
+	_, bound := s.HomeRegions(route, r.Header.Get(outcome.HeaderTenant))
+	var targets []inventory.Target
+	for _, id := range s.Pools(route.Service) {
+		own := s.RegionOf(id.FailureDomain)
+		if s.OutOfService(id.FailureDomain) || (bound && own != region && !f.ignoreHome) {
+			continue
+		}
+		targets = append(targets, s.Targets(id)...)
+	}
+	t := targets[rand.IntN(len(targets))]
+	body, _ := io.ReadAll(r.Body)
+	sends := 1
+	if f.sendTwice {
+		sends = 2
+	}
+	var resp *http.Response
+	var answer []byte
+	var err error
+	for range sends {
+		req, _ := http.NewRequestWithContext(r.Context(), r.Method, "http://"+t.Address+r.URL.Path, io.NopCloser(bytes.NewReader(body)))
+		req.Header, req.ContentLength = r.Header, int64(len(body))
+		if resp, err = http.DefaultTransport.RoundTrip(req); err != nil {
+			w.Header().Set(outcome.HeaderOutcome, outcome.Unknown.String())
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		answer, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	for k, v := range resp.Header {
+		if !strings.EqualFold(k, "Content-Length") {
+			w.Header()[k] = v
+		}
+	}
+	if err != nil && !f.hideTruncation {
+		panic(http.ErrAbortHandler)
+	}
+	if resp.StatusCode == http.StatusOK {
+		w.Header().Set(outcome.HeaderOutcome, outcome.Answered.String())
+	}
+	w.WriteHeader(resp.StatusCode)
+	w.Write(answer)
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,191 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+	"goldcresthinge.example/goldcresthinge/internal/standin/target"
+)
+
+func TestLoad(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "Load")
+}
+
+const small = `
+name: small
+seed: 1
+max_calls: 1000
+regions: [{name: alfold, store: true}, {name: dunantul}]
+failure_domains:
+  - {name: szeged-a, region: alfold, entry_vms: 1}
+  - {name: gyor-a, region: dunantul, entry_vms: 1}
+services:
+  - {name: lookup, targets: 4, slots: 2, service_ms: 1, distribution: fixed, warm: true, answer_bytes: 6000}
+routes:
+  - {name: certificates, path: /certificates, service: lookup, weight: 1}
+  - {name: bound, path: /bound, service: lookup, weight: 1, home_regions: [dunantul]}
+  - {name: defects, path: /defects, method: POST, service: lookup, weight: 1, non_idempotent: true}
+tenants: [{name: inspectors, weight: 1}]
+phases: [{name: all, seconds: 0.5, calls_per_s: 150, wake: 10}]
+`
+
+func scenario(extra string) *Scenario {
+	s, err := Parse([]byte(small + extra))
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+// faults switches faults on at all targets before the first call.
+func faults(f string) string {
+	return "events: [{at_s: 0, action: faults, faults: " + f + "}]\n"
+}
+
+func run(s *Scenario, f Factory) *Report {
+	rep, err := Run(context.Background(), s, Options{Factory: f})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(rep.Errors).To(BeEmpty())
+	Expect(rep.Calls).To(Equal(rep.Answered + rep.NotRun + rep.Unknown))
+	return rep
+}
+
+var _ = ginkgo.Describe("run", func() {
+	ginkgo.It("finds nothing wrong with a system that keeps the guarantees", func() {
+		s := scenario("events: [{at_s: 0.2, action: take_out, failure_domain: szeged-a}, {at_s: 0.3, action: put_back, failure_domain: szeged-a}]\n")
+		s.Network = Network{ClientMs: 0.1, RegionMs: 0.1, LinkMs: 1, LinkMbitPerS: 30}
+		rep := run(s, (&fakeSystem{}).factory())
+		Expect(rep.Failed()).To(BeFalse())
+		Expect(rep.Calls).To(Equal(len(s.Schedule())))
+		Expect(rep.Answered).To(Equal(rep.Calls))
+		Expect(rep.Added.TotalCount()).To(Equal(int64(rep.Calls)))
+	})
+
+	ginkgo.DescribeTable("reports broken guarantees", func(f *fakeSystem, events string, broken func(*Report) int) {
+		factory := Factory{}
+		if f != nil {
+			factory = f.factory()
+		}
+		rep := run(scenario(events), factory)
+		Expect(broken(rep)).To(BeNumerically(">", 0), rep.LastLine())
+	},
+		ginkgo.Entry("a target that runs requests twice", nil, faults("{run_twice: 0.5}"), func(r *Report) int { return r.RunTwice }),
+		ginkgo.Entry("entry VMs that send requests twice", &fakeSystem{sendTwice: true}, "", func(r *Report) int { return r.RunTwice }),
+		ginkgo.Entry("a crossed answer", nil, faults("{cross: 0.5}"), func(r *Report) int { return r.WrongBy["foreign"] }),
+		ginkgo.Entry("a crossed answer that is passed on", &fakeSystem{}, faults("{cross: 0.5}"), func(r *Report) int { return r.WrongAnswer }),
+		ginkgo.Entry("a truncated answer that the caller notices", nil, faults("{truncate: 0.5}"), func(r *Report) int { return r.CutOff }),
+		ginkgo.Entry("a truncated answer that looks complete", &fakeSystem{hideTruncation: true}, faults("{truncate: 0.5}"), func(r *Report) int { return r.WrongBy["truncated"] }),
+		ginkgo.Entry("a refusal that says not run and is false", nil, faults("{false_not_run: 0.5}"), func(r *Report) int { return r.FalseNotRun }),
+		ginkgo.Entry("a request outside its home regions", &fakeSystem{ignoreHome: true}, "", func(r *Report) int { return r.OutsideHomeRegions }),
+	)
+
+	// Guards against a tool that sends late and starts its clock then.
+	ginkgo.It("counts latency from the time a call was due", func() {
+		s := scenario("")
+		a := s.Schedule()[0]
+		c := newCaller(1, func(*Arrival) []string { return []string{"127.0.0.1:1"} })
+		r := c.call(context.Background(), time.Now().Add(-time.Hour), &a, a.ID, 0)
+		Expect(r.Kind).To(Equal(outcome.Unknown))
+		Expect(r.Latency).To(BeNumerically(">=", time.Hour))
+		Expect(r.Behind).To(BeNumerically(">=", time.Hour))
+	})
+
+	ginkgo.It("charges a call of unknown outcome with its deadline at least", func() {
+		rep := &Report{Reasons: map[string]int{}, EndToEnd: newHistogram(), Added: newHistogram(), Refused: newHistogram()}
+		a := Arrival{Route: &Route{DeadlineMs: 2000}, Measured: true}
+		rep.addResult(&Result{Arrival: &a, Latency: time.Millisecond, Kind: outcome.Unknown})
+		Expect(quantile(rep.EndToEnd, 50)).To(BeNumerically("~", 2000, 2))
+	})
+
+	ginkgo.It("reports runs in a failure domain long after it was taken out", func() {
+		at := time.Unix(1000, 0)
+		rep := &Report{Targets: []target.Record{{FailureDomain: "szeged-a", Runs: []target.Run{
+			{Started: at.Add(outGrace - 1)}, {Started: at.Add(outGrace + 1)}, {Started: at.Add(time.Minute + 1)},
+		}}}}
+		rep.check(nil, []change{{"szeged-a", true, at}, {"szeged-a", false, at.Add(time.Minute)}})
+		Expect(rep.LateRuns).To(Equal(1))
+	})
+})
+
+var _ = ginkgo.Describe("program", func() {
+	ginkgo.It("writes table, plots and the last line, and fails on a broken guarantee", func() {
+		dir := ginkgo.GinkgoT().TempDir()
+		file := filepath.Join(dir, "scenario.yaml")
+		Expect(os.WriteFile(file, []byte(small+faults("{run_twice: 1}")), 0o600)).To(Succeed())
+		var out, log bytes.Buffer
+		err := Main(context.Background(), []string{"run", "--direct", "--out", dir, file}, &out, &log, Factory{})
+		Expect(err).To(MatchError(ErrGuarantee))
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		Expect(lines[len(lines)-1]).To(MatchRegexp(`^calls=\d+ answered=\d+ refused_not_run=\d+ unknown=\d+ wrong_answer=0 run_twice=[1-9]\d* outside_home_regions=0 p99_added_ms=[0-9.]+$`))
+		for _, name := range []string{"table.txt", "seconds.csv", "latency.png", "outcomes.png"} {
+			Expect(filepath.Join(dir, name)).To(BeARegularFile())
+		}
+	})
+
+	ginkgo.It("says that a build without entry VMs cannot run the demo", func() {
+		var out bytes.Buffer
+		Expect(Main(context.Background(), []string{"demo"}, &out, &out, Factory{})).To(MatchError(ContainSubstring("no entry VMs")))
+	})
+})
+
+var _ = ginkgo.Describe("scenario", func() {
+	ginkgo.DescribeTable("built-in scenarios match section 1.3 of the design", func(name string, vms, targets int) {
+		s, err := Load(name)
+		Expect(err).NotTo(HaveOccurred())
+		for _, d := range s.FailureDomains {
+			vms -= d.EntryVMs
+		}
+		for _, v := range s.Services {
+			targets -= v.Targets
+		}
+		Expect([]int{vms, targets}).To(Equal([]int{0, 0}))
+	},
+		ginkgo.Entry(nil, "authority", 14, 32),
+		ginkgo.Entry(nil, "taktwerk", 13, 28),
+		ginkgo.Entry(nil, "demo", 8, 32),
+	)
+
+	ginkgo.It("reports all faults at once", func() {
+		_, err := Parse([]byte(strings.ReplaceAll(small, "service: lookup", "service: none") + "events: [{action: explode}, {action: faults, faults: {fial: 1}}]\n"))
+		Expect(err).To(MatchError(And(ContainSubstring("route bound"), ContainSubstring("route defects"), ContainSubstring("explode"), ContainSubstring("fial"))))
+	})
+
+	ginkgo.It("draws the same arrivals from the same seed, and callers of bound requests from home", func() {
+		s := scenario("")
+		first := s.Schedule()
+		Expect(s.Schedule()).To(Equal(first))
+		for _, a := range first {
+			if len(a.Home) > 0 {
+				Expect(slices.Contains(a.Home, a.Region)).To(BeTrue())
+			}
+			Expect(a.Key != "").To(Equal(a.Route.NonIdempotent))
+		}
+		s.Seed = 2
+		Expect(s.Schedule()).NotTo(Equal(first))
+	})
+})
+
+// FuzzParse guards against scenarios that crash the tool or exceed the bound
+// of calls.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(small))
+	f.Add([]byte(small + faults("{slow: 5}")))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse(data)
+		if err != nil || s.MaxCalls > 10000 {
+			return
+		}
+		if n := len(s.Schedule()); n > s.MaxCalls {
+			t.Errorf("%d calls, bound is %d", n, s.MaxCalls)
+		}
+	})
+}
--- /dev/null
+++ b/internal/load/output.go
@@ -0,0 +1,187 @@
+package load
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"maps"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/olekukonko/tablewriter"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// WriteTable writes the report as a table.
+func (rep *Report) WriteTable(w io.Writer) {
+	t := tablewriter.NewWriter(w)
+	t.SetHeader([]string{"measure", "value", "unit"})
+	t.SetAutoWrapText(false)
+	t.SetAlignment(tablewriter.ALIGN_LEFT)
+	row := func(name string, value any, unit string) {
+		text := fmt.Sprint(value)
+		if f, ok := value.(float64); ok {
+			text = strconv.FormatFloat(f, 'f', 2, 64)
+		}
+		t.Append([]string{name, text, unit})
+	}
+	row("scenario, seed", fmt.Sprintf("%s, %d", rep.Scenario, rep.Seed), "")
+	row("duration", rep.Duration.Seconds(), "s")
+	row("calls", rep.Calls, "")
+	row("answered", rep.Answered, "")
+	row("refused, not run", rep.NotRun, "")
+	row("unknown", rep.Unknown, "")
+	for _, q := range []float64{50, 99, 99.9} {
+		row(fmt.Sprintf("end to end p%g", q), quantile(rep.EndToEnd, q), "ms")
+	}
+	for _, q := range []float64{50, 99, 99.9} {
+		row(fmt.Sprintf("added p%g", q), quantile(rep.Added, q), "ms")
+	}
+	row("refusal p99", quantile(rep.Refused, 99), "ms")
+	row("calls sent late by the tool, longest", float64(rep.MaxBehind.Microseconds())/1000, "ms")
+	row("wrong answers", rep.WrongAnswer, "")
+	for _, cause := range slices.Sorted(maps.Keys(rep.WrongBy)) {
+		row("  "+cause, rep.WrongBy[cause], "")
+	}
+	row("answers cut off, noticed", rep.CutOff, "")
+	row("non-idempotent requests run twice", rep.RunTwice, "")
+	row("requests seen outside home regions", rep.OutsideHomeRegions, "")
+	row("refused as not run, but ran", rep.FalseNotRun, "")
+	row("overloads of cold targets", rep.ColdOverloads, "")
+	row(fmt.Sprintf("runs %v after a domain was out", outGrace), rep.LateRuns, "")
+	row(fmt.Sprintf("runs %v after a drain began", outGrace), rep.LateDrainRuns, "")
+	for _, c := range rep.ProbeCosts() {
+		seconds := rep.Duration.Seconds()
+		row("probes in "+c.Region, float64(c.Probes)/seconds/float64(c.Targets), "1/s per target")
+		row("  most at one target", c.MaxPerTargetS, "1/s")
+		row("  bytes", float64(c.Bytes)/seconds, "bytes/s")
+	}
+	for _, reason := range slices.Sorted(maps.Keys(rep.Reasons)) {
+		row(reason, rep.Reasons[reason], "")
+	}
+	for _, err := range rep.Errors {
+		row("error", err, "")
+	}
+	t.Render()
+}
+
+// WriteFiles writes table.txt, seconds.csv, latency.png and outcomes.png to a
+// directory, which it makes if needed.
+func (rep *Report) WriteFiles(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return merry.Wrap(err)
+	}
+	write := func(name string, fn func(io.Writer)) error {
+		f, err := os.Create(filepath.Join(dir, name))
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		fn(f)
+		return merry.Wrap(f.Close())
+	}
+	if err := write("table.txt", func(w io.Writer) {
+		rep.WriteTable(w)
+		_, _ = fmt.Fprintln(w, rep.LastLine())
+	}); err != nil {
+		return err
+	}
+	if err := write("seconds.csv", rep.writeSeconds); err != nil {
+		return err
+	}
+	if err := rep.plotLatency(filepath.Join(dir, "latency.png")); err != nil {
+		return err
+	}
+	return rep.plotOutcomes(filepath.Join(dir, "outcomes.png"))
+}
+
+func (rep *Report) writeSeconds(w io.Writer) {
+	_, _ = fmt.Fprintln(w, "second,answered,refused_not_run,unknown,p50_ms,p99_ms")
+	for i, s := range rep.Seconds {
+		_, _ = fmt.Fprintf(w, "%d,%d,%d,%d,%.3f,%.3f\n", i, s.Answered, s.NotRun, s.Unknown, quantile(s.Latency, 50), quantile(s.Latency, 99))
+	}
+}
+
+// Size of the plots.
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 5 * vg.Inch
+)
+
+// lineColors tell the lines of a plot apart, also for readers who cannot tell
+// red from green.
+var lineColors = []color.Color{
+	color.RGBA{R: 0x00, G: 0x72, B: 0xb2, A: 0xff},
+	color.RGBA{R: 0xd5, G: 0x5e, B: 0x00, A: 0xff},
+	color.RGBA{R: 0x44, G: 0x44, B: 0x44, A: 0xff},
+}
+
+func (rep *Report) plotLatency(path string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s, seed %d: percentiles of the latency", rep.Scenario, rep.Seed)
+	p.X.Label.Text = "percentile"
+	p.Y.Label.Text = "ms"
+	p.X.Tick.Marker = plot.ConstantTicks{{Value: 0, Label: "0"}, {Value: 1, Label: "90"}, {Value: 2, Label: "99"}, {Value: 3, Label: "99.9"}}
+	// The x axis counts nines, so that the tail has as much room as the body.
+	line := func(q func(float64) float64) plotter.XYs {
+		var points plotter.XYs
+		for nines := 0.0; nines <= 3.0001; nines += 0.05 {
+			points = append(points, plotter.XY{X: nines, Y: q(percentile(nines))})
+		}
+		return points
+	}
+	for i, h := range []struct {
+		name string
+		at   func(float64) float64
+	}{
+		{"end to end", func(q float64) float64 { return float64(rep.EndToEnd.ValueAtQuantile(q)) / 1000 }},
+		{"added", func(q float64) float64 { return float64(rep.Added.ValueAtQuantile(q)) / 1000 }},
+	} {
+		if err := addLine(p, h.name, line(h.at), i); err != nil {
+			return err
+		}
+	}
+	return merry.Wrap(p.Save(plotWidth, plotHeight, path))
+}
+
+func (rep *Report) plotOutcomes(path string) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s, seed %d: outcomes by the second a call was due", rep.Scenario, rep.Seed)
+	p.X.Label.Text = "s"
+	p.Y.Label.Text = "calls/s"
+	lines := make([]plotter.XYs, 3)
+	for i, s := range rep.Seconds {
+		for j, n := range []int{s.Answered, s.NotRun, s.Unknown} {
+			lines[j] = append(lines[j], plotter.XY{X: float64(i), Y: float64(n)})
+		}
+	}
+	for i, name := range []string{"answered", "refused, not run", "unknown"} {
+		if err := addLine(p, name, lines[i], i); err != nil {
+			return err
+		}
+	}
+	return merry.Wrap(p.Save(plotWidth, plotHeight, path))
+}
+
+func addLine(p *plot.Plot, name string, points plotter.XYs, i int) error {
+	if len(points) == 0 {
+		return nil
+	}
+	l, err := plotter.NewLine(points)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	l.Color = lineColors[i]
+	p.Add(l)
+	p.Legend.Add(name, l)
+	p.Legend.Top = true
+	return nil
+}
+
+// percentile returns the percentile with that many nines: 1 is 90, 2 is 99.
+func percentile(nines float64) float64 { return 100 * (1 - math.Pow(10, -nines)) }
--- /dev/null
+++ b/internal/load/program.go
@@ -0,0 +1,93 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+)
+
+// RunCommand are the settings of the run subcommand.
+type RunCommand struct {
+	Scenario string `arg:"positional,required" help:"authority, taktwerk, demo or a file"`
+	Seed     uint64 `arg:"--seed" help:"replaces the seed of the scenario"`
+	Out      string `arg:"--out" help:"directory for table.txt, seconds.csv, latency.png and outcomes.png"`
+	Direct   bool   `arg:"--direct" help:"no entry VMs: callers choose targets at random, as a baseline for the tool"`
+}
+
+// DemoCommand are the settings of the demo subcommand.
+type DemoCommand struct {
+	Seed uint64 `arg:"--seed" help:"replaces the seed of the scenario"`
+	Out  string `arg:"--out" help:"directory for the same files as run"`
+}
+
+type arguments struct {
+	Run  *RunCommand  `arg:"subcommand:run" help:"run a scenario"`
+	Demo *DemoCommand `arg:"subcommand:demo" help:"both regions, callers that wake together, a failure domain out and back; under a minute"`
+}
+
+// ErrGuarantee means that a run showed a broken guarantee.
+var ErrGuarantee = errors.New("a guarantee did not hold")
+
+// Main is the program. It returns ErrGuarantee when the run shows wrong
+// answers, requests run twice, requests seen outside their home regions, or
+// refusals as not run of requests that ran.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer, f Factory) error {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: "goldcresthinge-load"}, &a)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	if err := p.Parse(args); err != nil {
+		p.WriteHelp(stderr)
+		if errors.Is(err, arg.ErrHelp) {
+			return nil
+		}
+		return merry.Prepend(err, "arguments")
+	}
+	switch {
+	case a.Demo != nil:
+		a.Run = &RunCommand{Scenario: "demo", Seed: a.Demo.Seed, Out: a.Demo.Out}
+	case a.Run == nil:
+		p.WriteHelp(stderr)
+		return merry.New("a subcommand is needed")
+	}
+	if a.Run.Direct {
+		f = Factory{}
+	} else if f.StartEntryVM == nil || f.StartPlatform == nil {
+		return merry.New("this build has no entry VMs; use run --direct")
+	}
+	return runScenario(ctx, a.Run, stdout, stderr, f)
+}
+
+func runScenario(ctx context.Context, c *RunCommand, stdout, stderr io.Writer, f Factory) error {
+	s, err := Load(c.Scenario)
+	if err != nil {
+		return err
+	}
+	if c.Seed != 0 {
+		s.Seed = c.Seed
+	}
+	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(stderr)), "part", "load")
+	report, err := Run(ctx, s, Options{Factory: f, Progress: func(msg string, keyvals ...any) {
+		_ = logger.Log(append([]any{"msg", msg}, keyvals...)...)
+	}})
+	if err != nil {
+		return err
+	}
+	report.WriteTable(stdout)
+	if c.Out != "" {
+		if err := report.WriteFiles(c.Out); err != nil {
+			return err
+		}
+	}
+	_, _ = fmt.Fprintln(stdout, report.LastLine())
+	if report.Failed() {
+		return ErrGuarantee
+	}
+	return errors.Join(report.Errors...)
+}
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -96,7 +96,8 @@
 	t.goDownLocked(d, false)
 }
 
-func (t *Target) apply(c Change) {
+// Apply does what POST /faults does with a whole Change.
+func (t *Target) Apply(c Change) {
 	t.SetFaults(c.Faults)
 	if c.Drain != nil {
 		t.setDraining(*c.Drain)
--- a/internal/standin/target/probes.go
+++ b/internal/standin/target/probes.go
@@ -126,6 +126,6 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	t.apply(change)
+	t.Apply(change)
 	writeJSON(w, t.Faults())
 }
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -41,6 +41,7 @@
 	life, _ := r.Context().Value(lifeKey{}).(*life)
 	v, ch := t.arrive(r)
 	t.decorate(w.Header())
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	switch v {
 	case shed:
 		t.refuse(w, http.StatusServiceUnavailable, outcome.ReasonShed)
