Search the region link for bound requests; add fault scenario

Review of the target stand-in showed that a call counted as in flight until its answer was written, so a cold target could fall over although its caller had waited for the answer. Ruled out: a search for tenant or region names, which also occur in the configuration. Request ids of bound requests now carry a mark. Change: load tool records the link and counts marked ids on it; targets.csv; scenario authority-faults; targets let a call go before they answer; runs note for how long the target had been draining. The new test of the cold target fails with the old order and passes with the new one; the overload itself was not reproduced by sequential calls.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -88,6 +89,26 @@
 		ginkgo.Entry("a request outside its home regions", &fakeSystem{ignoreHome: true}, "", func(r *Report) int { return r.OutsideHomeRegions }),
 	)
 
+	ginkgo.It("finds bound requests on the link between regions", func() {
+		s := scenario("")
+		s.Network.LinkMs = 1
+		sys, err := StartSystem(context.Background(), s, (&fakeSystem{}).factory())
+		Expect(err).NotTo(HaveOccurred())
+		defer sys.Stop(context.Background())
+		sys.relays.add(sys.targets[0].Address(), "dunantul")
+		conn, err := sys.relays.dialer("alfold")(context.Background(), "tcp", sys.targets[0].Address())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write([]byte("GET /bound/small-1-000001" + BoundMark + "dunantul HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		rep := &Report{}
+		rep.checkLink(sys.link)
+		Expect(rep.OutsideHomeRegions).To(Equal(1))
+		Expect(rep.LinkBytes[0]).To(BeNumerically(">", 0))
+	})
+
 	// Guards against a tool that sends late and starts its clock then.
 	ginkgo.It("counts latency from the time a call was due", func() {
 		s := scenario("")
@@ -126,7 +147,7 @@
 		Expect(err).To(MatchError(ErrGuarantee))
 		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 		Expect(lines[len(lines)-1]).To(MatchRegexp(`^calls=\d+ answered=\d+ refused_not_run=\d+ unknown=\d+ wrong_answer=0 run_twice=[1-9]\d* outside_home_regions=0 p99_added_ms=[0-9.]+$`))
-		for _, name := range []string{"table.txt", "seconds.csv", "latency.png", "outcomes.png"} {
+		for _, name := range []string{"table.txt", "seconds.csv", "targets.csv", "latency.png", "outcomes.png"} {
 			Expect(filepath.Join(dir, name)).To(BeARegularFile())
 		}
 	})
@@ -150,6 +171,7 @@
 		Expect([]int{vms, targets}).To(Equal([]int{0, 0}))
 	},
 		ginkgo.Entry(nil, "authority", 14, 32),
+		ginkgo.Entry(nil, "authority-faults", 14, 32),
 		ginkgo.Entry(nil, "taktwerk", 13, 28),
 		ginkgo.Entry(nil, "demo", 8, 32),
 	)
--- a/internal/load/output.go
+++ b/internal/load/output.go
@@ -52,6 +52,9 @@
 	row("answers cut off, noticed", rep.CutOff, "")
 	row("non-idempotent requests run twice", rep.RunTwice, "")
 	row("requests seen outside home regions", rep.OutsideHomeRegions, "")
+	row("  of these, ids on the link between regions", rep.LinkBound, "")
+	row("link between regions, A to B", float64(rep.LinkBytes[0])/rep.Duration.Seconds(), "bytes/s")
+	row("link between regions, B to A", float64(rep.LinkBytes[1])/rep.Duration.Seconds(), "bytes/s")
 	row("refused as not run, but ran", rep.FalseNotRun, "")
 	row("overloads of cold targets", rep.ColdOverloads, "")
 	row(fmt.Sprintf("runs %v after a domain was out", outGrace), rep.LateRuns, "")
@@ -71,7 +74,7 @@
 	t.Render()
 }
 
-// WriteFiles writes table.txt, seconds.csv, latency.png and outcomes.png to a
+// WriteFiles writes table.txt, seconds.csv, targets.csv, latency.png and outcomes.png to a
 // directory, which it makes if needed.
 func (rep *Report) WriteFiles(dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
@@ -94,6 +97,9 @@
 	if err := write("seconds.csv", rep.writeSeconds); err != nil {
 		return err
 	}
+	if err := write("targets.csv", rep.writeTargets); err != nil {
+		return err
+	}
 	if err := rep.plotLatency(filepath.Join(dir, "latency.png")); err != nil {
 		return err
 	}
@@ -107,10 +113,21 @@
 	}
 }
 
+func (rep *Report) writeTargets(w io.Writer) {
+	_, _ = fmt.Fprintln(w, "target,region,failure_domain,runs,sheds,canceled,cold_overloads,cold_high_water,connection_high_water,probes,probe_bytes")
+	for i := range rep.Targets {
+		t := &rep.Targets[i]
+		_, _ = fmt.Fprintf(w, "%s,%s,%s,%d,%d,%d,%d,%d,%d,%d,%d\n", t.Name, t.Region, t.FailureDomain, len(t.Runs), t.Sheds, t.Canceled,
+			t.ColdOverloads, t.ColdHighWater, t.ConnectionHighWater, t.Probes, t.ProbeBytes)
+	}
+}
+
 // Size of the plots.
 const (
 	plotWidth  = 9 * vg.Inch
 	plotHeight = 5 * vg.Inch
+	// Without the inset the line samples of the legend touch the border.
+	legendInset = vg.Inch / 4
 )
 
 // lineColors tell the lines of a plot apart, also for readers who cannot tell
@@ -125,6 +142,7 @@
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s, seed %d: percentiles of the latency", rep.Scenario, rep.Seed)
 	p.X.Label.Text = "percentile"
+	p.X.Max = 3.1 // leaves room for the last label
 	p.Y.Label.Text = "ms"
 	p.X.Tick.Marker = plot.ConstantTicks{{Value: 0, Label: "0"}, {Value: 1, Label: "90"}, {Value: 2, Label: "99"}, {Value: 3, Label: "99.9"}}
 	// The x axis counts nines, so that the tail has as much room as the body.
@@ -180,6 +198,7 @@
 	p.Add(l)
 	p.Legend.Add(name, l)
 	p.Legend.Top = true
+	p.Legend.XOffs = -legendInset
 	return nil
 }
 
--- a/internal/load/program.go
+++ b/internal/load/program.go
@@ -13,9 +13,9 @@
 
 // RunCommand are the settings of the run subcommand.
 type RunCommand struct {
-	Scenario string `arg:"positional,required" help:"authority, taktwerk, demo or a file"`
+	Scenario string `arg:"positional,required" help:"authority, authority-faults, taktwerk, demo or a file"`
 	Seed     uint64 `arg:"--seed" help:"replaces the seed of the scenario"`
-	Out      string `arg:"--out" help:"directory for table.txt, seconds.csv, latency.png and outcomes.png"`
+	Out      string `arg:"--out" help:"directory for table.txt, seconds.csv, targets.csv, latency.png and outcomes.png"`
 	Direct   bool   `arg:"--direct" help:"no entry VMs: callers choose targets at random, as a baseline for the tool"`
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"goldcresthinge.example/goldcresthinge/internal/outcome"
+	"goldcresthinge.example/goldcresthinge/internal/standin/netlink"
 	"goldcresthinge.example/goldcresthinge/internal/standin/target"
 )
 
@@ -38,9 +39,12 @@
 	CutOff      int
 	// RunTwice counts non-idempotent requests that ran more than once.
 	RunTwice int
-	// OutsideHomeRegions counts requests seen by targets outside their home
-	// regions.
+	// OutsideHomeRegions counts requests seen outside their home regions: by
+	// targets there, or on the link between regions (LinkBound, the number of
+	// times that the id of a bound request crossed).
 	OutsideHomeRegions int
+	LinkBound          int
+	LinkBytes          [2]int64 // per direction, over the relays of the run
 	// FalseNotRun counts requests refused as not run that did run.
 	FalseNotRun int
 	// ColdOverloads counts how often a cold target got more than it bears.
@@ -86,6 +90,7 @@
 		rep.addResult(&r.results[i])
 	}
 	rep.check(r.results, r.changes)
+	rep.checkLink(r.system.link)
 	return rep
 }
 
@@ -165,7 +170,7 @@
 			if isOut(changes, t.FailureDomain, run.Started) {
 				rep.LateRuns++
 			}
-			if run.Draining && run.Started.Sub(t.DrainStarted) > outGrace {
+			if run.DrainingFor > outGrace {
 				rep.LateDrainRuns++
 			}
 		}
@@ -182,6 +187,19 @@
 	}
 }
 
+// checkLink searches the recorded bytes of the link between regions.
+func (rep *Report) checkLink(link *netlink.Link) {
+	for _, d := range []netlink.Direction{netlink.AToB, netlink.BToA} {
+		rep.LinkBytes[d] = link.Bytes(d)
+		n, err := link.Count(d, []byte(BoundMark))
+		if err != nil {
+			rep.Errors = append(rep.Errors, err)
+		}
+		rep.LinkBound += n
+	}
+	rep.OutsideHomeRegions += rep.LinkBound
+}
+
 // isOut reports whether a failure domain had been out for longer than outGrace.
 func isOut(changes []change, domain string, at time.Time) bool {
 	out := false
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -116,21 +116,23 @@
 	ActionStopVM  = "stop_vm" // graceful stop of one entry VM
 )
 
-// Event happens at a time after the first arrival.
+// Event happens at a time after the start of the run. Events of the same time
+// have no order.
 type Event struct {
 	AtS           float64 `yaml:"at_s"`
 	Action        string  `yaml:"action"`
 	FailureDomain string  `yaml:"failure_domain"` // empty: all
 	Service       string  `yaml:"service"`        // empty: all
 	Count         int     `yaml:"count"`          // first targets that match; 0: all
-	// Faults is a target.Change, in the names of its JSON form.
+	// Faults is a target.Change, in the names of its JSON form. It replaces
+	// the faults that are switched on at the targets that match.
 	Faults map[string]any `yaml:"faults"`
 
 	change target.Change
 }
 
 // Load reads a scenario from a file, or by the name of a built-in one
-// (authority, taktwerk, demo).
+// (authority, authority-faults, taktwerk, demo).
 func Load(name string) (*Scenario, error) {
 	data, err := builtin.ReadFile("scenarios/" + name + ".yaml")
 	if err != nil {
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -11,6 +11,11 @@
 	"goldcresthinge.example/goldcresthinge/internal/inventory"
 )
 
+// BoundMark is part of the id of every request with one home region. Ids are in
+// paths, headers and answers, so that a search of recorded bytes finds
+// requests that left their home region.
+const BoundMark = "-bound-"
+
 // Arrival is one call that is due at a time, whether or not the system keeps
 // up.
 type Arrival struct {
@@ -25,13 +30,12 @@
 	Measured bool
 }
 
-// Body returns the request body. It names the home regions, so that a search
-// of recorded bytes finds requests that left them.
+// Body returns the request body, which holds the request id.
 func (a *Arrival) Body() []byte {
 	if a.Route.BodyBytes == 0 {
 		return nil
 	}
-	head := fmt.Sprintf("id=%s home=%s ", a.ID, strings.Join(a.Home, ","))
+	head := fmt.Sprintf("id=%s ", a.ID)
 	return []byte(head + strings.Repeat("x", max(0, a.Route.BodyBytes-len(head))))
 }
 
@@ -63,6 +67,9 @@
 	slices.SortStableFunc(arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
 	for i := range arrivals {
 		arrivals[i].ID = fmt.Sprintf("%s-%d-%06d", s.Name, s.Seed, i)
+		if len(arrivals[i].Home) == 1 && len(s.Regions) > 1 {
+			arrivals[i].ID += BoundMark + arrivals[i].Home[0]
+		}
 		if arrivals[i].Route.NonIdempotent {
 			arrivals[i].Key = "key-" + arrivals[i].ID
 		}
--- a/internal/load/system.go
+++ b/internal/load/system.go
@@ -96,6 +96,7 @@
 func (sys *System) start(ctx context.Context) error {
 	s := sys.scenario
 	sys.link = netlink.New(ms(s.Network.LinkMs), s.Network.LinkMbitPerS*1e6/8)
+	sys.link.Record(true)
 	sys.relays = &relays{regionOf: map[string]string{}, made: map[relayKey]string{}, between: sys.link}
 	inside := netlink.New(ms(s.Network.RegionMs), 0)
 	clients := netlink.New(ms(s.Network.ClientMs), 0)
--- a/internal/standin/netlink/netlink.go
+++ b/internal/standin/netlink/netlink.go
@@ -146,21 +146,30 @@
 	}
 }
 
-// Contains reports whether needle crossed the link in a direction within one
-// connection while recording. If the record was full before the end and needle
-// is not in it, it returns ErrRecordFull, since absence is then not known.
-func (l *Link) Contains(d Direction, needle []byte) (bool, error) {
+// Count returns how often needle crossed the link in a direction, within
+// single connections, while recording. With ErrRecordFull the count is a lower
+// bound, since more crossed than was recorded.
+func (l *Link) Count(d Direction, needle []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	n := 0
 	for _, b := range l.lanes[d].recorded {
-		if bytes.Contains(b.Bytes(), needle) {
-			return true, nil
-		}
+		n += bytes.Count(b.Bytes(), needle)
 	}
 	if l.lanes[d].full {
-		return false, ErrRecordFull
+		return n, ErrRecordFull
+	}
+	return n, nil
+}
+
+// Contains reports whether needle crossed the link like Count. Absence is not
+// known when it returns ErrRecordFull.
+func (l *Link) Contains(d Direction, needle []byte) (bool, error) {
+	n, err := l.Count(d, needle)
+	if n > 0 {
+		return true, nil
 	}
-	return false, nil
+	return false, err
 }
 
 // Relay starts a relay that listens on address listen and passes connections
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -16,6 +16,8 @@
 	Instance       string    `json:"instance"`
 	// Draining tells that the target was draining when the run started.
 	Draining bool `json:"draining"`
+	// DrainingFor is for how long it had been.
+	DrainingFor time.Duration `json:"draining_for_ns"`
 	// Finished is false for a run that was canceled or cut off.
 	Finished bool `json:"finished"`
 }
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -55,15 +55,18 @@
 	case fallOver:
 		panic(http.ErrAbortHandler)
 	}
-	defer t.leave(life)
 	ctx, cancel := withDeadline(r)
 	defer cancel()
+	// The call leaves before its answer is written: a caller that has the
+	// answer may send the next call, which must not count as a second one.
 	if err := life.slots.Acquire(ctx, 1); err != nil {
+		t.leave(life)
 		t.giveUp(w, life, err, false)
 		return
 	}
 	rep, err := t.run(ctx, life, r, body, ch)
 	life.slots.Release(1)
+	t.leave(life)
 	if err != nil {
 		t.giveUp(w, life, err, true)
 		return
@@ -148,6 +151,9 @@
 	}
 	t.mu.Lock()
 	run.Instance, run.Draining = t.instanceLocked(), t.draining
+	if t.draining {
+		run.DrainingFor = started.Sub(t.rec.DrainStarted)
+	}
 	at := len(t.rec.Runs)
 	t.rec.Runs = append(t.rec.Runs, run)
 	if c.twice {
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/coder/quartz"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -94,6 +96,19 @@
 		Expect(t.Record().ColdOverloads).To(Equal(1))
 	})
 
+	// Guards against a call that still counts while its answer is on the way:
+	// the next call of its caller would then be one too many.
+	It("bears the next call when the work of the last is done", func() {
+		start(target.Config{Cold: target.Cold{Calls: 1000, Time: time.Hour}})
+		t.SetFaults(target.Faults{Late: 1, LateMs: 3600_000})
+		go do("r1", "")
+		Eventually(func() bool { runs := t.Record().Runs; return len(runs) == 1 && runs[0].Finished }).Should(BeTrue())
+		Eventually(func() string { return string(get("/load").body) }).Should(ContainSubstring(`"in_flight":0`))
+		t.SetFaults(target.Faults{})
+		Expect(do("r2", "").status).To(Equal(http.StatusOK))
+		Expect(t.Record().ColdOverloads).To(BeZero())
+	})
+
 	It("sheds with an outcome of not-run and does not run the call", func() {
 		start(target.Config{})
 		t.SetFaults(target.Faults{Shed: 1})
@@ -125,6 +140,8 @@
 		Expect(r.header.Get(outcome.HeaderLeaving)).To(Equal("1"))
 		Expect(string(get("/healthz").body)).To(Equal("draining\n"))
 		Expect(t.Record().Runs[0].Draining).To(BeTrue())
+		t.EndDrain()
+		Expect(string(get("/healthz").body)).To(Equal("ok\n"))
 	})
 
 	It("stops a run at its deadline", func() {
@@ -135,6 +152,34 @@
 		Expect(t.Record().Runs[0].Finished).To(BeFalse())
 	})
 
+	It("stops the run of a caller that has gone", func() {
+		start(target.Config{ServiceTime: time.Hour, Distribution: target.Fixed})
+		ctx, cancel := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address()+"/permits", nil)
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			client.Do(req)
+		}()
+		Eventually(func() []target.Run { return t.Record().Runs }).Should(HaveLen(1))
+		cancel()
+		<-done
+		Eventually(func() int { return t.Record().Canceled }).Should(Equal(1))
+		Expect(t.Record().Runs[0].Finished).To(BeFalse())
+	})
+
+	It("shows load as it was the lag ago", func() {
+		clock := quartz.NewMock(GinkgoT())
+		start(target.Config{ServiceTime: time.Hour, Distribution: target.Fixed, Clock: clock})
+		t.SetFaults(target.Faults{LoadLagMs: 1000})
+		go do("r1", "")
+		Eventually(func() []target.Run { return t.Record().Runs }).Should(HaveLen(1))
+		Expect(string(get("/load").body)).To(ContainSubstring(`"in_flight":0`))
+		clock.Advance(time.Second)
+		Expect(string(get("/load").body)).To(ContainSubstring(`"in_flight":1`))
+	})
+
 	It("truncates, crosses and repeats answers as told", func() {
 		start(target.Config{AnswerBytes: 10000})
 		Expect(do("r0", "").status).To(Equal(http.StatusOK))
