Add lease keeper and heartbeats

Cause: the other packages need HolderOf, Holds, Mode, Members and Alive.

Ruled out: counting a majority of whatever each VM scanned last. A successor and a former holder may then count different sets.

Change: internal/lease decides in a core without clock and goroutine; Keeper runs it. The lease row names the witnesses that its holder counts, and a successor counts the same ones before it serves a pool and before it lifts the half cap. internal/membership sends and answers heartbeats. Heartbeats carry revoked, cleared and dropped incarnations.

No throughput or size was measured.

--- /dev/null
+++ b/internal/lease/plan.go
@@ -0,0 +1,257 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// plan starts at most one transaction from the view as last read.
+func (c *core) plan(now time.Time) {
+	if c.table.inFlight || c.own.incarnation == 0 || c.done || elapsedValid(c.own.renewed, now) >= TTL-safetyMargin {
+		return
+	}
+	if c.table.hand != nil {
+		c.handoverSettled(now)
+		return
+	}
+	if !c.leaving && !now.Before(c.graceUntil) && c.planTakeover(now) {
+		return
+	}
+	if c.planCleanup(now) {
+		return
+	}
+	c.planHandover(now)
+}
+
+func (c *core) commit(now time.Time, ops []platform.Op) {
+	c.table.inFlight = true
+	c.markPending(now)
+	c.emit(action{kind: actCommit, ops: ops})
+}
+
+// regionPools returns the pools of the own region by failure domain.
+func (c *core) regionPools() map[string][]inventory.PoolID {
+	snap := c.snapshot()
+	out := map[string][]inventory.PoolID{}
+	if snap == nil {
+		return out
+	}
+	for i := range snap.Document.Services {
+		for _, id := range snap.Pools(snap.Document.Services[i].Name) {
+			if snap.RegionOf(id.FailureDomain) == c.self.Region {
+				out[id.FailureDomain] = append(out[id.FailureDomain], id)
+			}
+		}
+	}
+	return out
+}
+
+// live returns the VMs of the region whose lease may still run and that are
+// not leaving, with an incarnation known for at least age. The VM itself is
+// included unless it is leaving.
+func (c *core) live(now time.Time, age time.Duration) []vm.Info {
+	var out []vm.Info
+	for id, r := range c.vms {
+		if r.State != active || r.Leaving || c.leavingHB[id] || (id == c.self.ID && c.leaving) {
+			continue
+		}
+		if id != c.self.ID && c.expired(now, r) {
+			continue
+		}
+		if now.Sub(c.firstSeen[r.Incarnation]) >= age {
+			out = append(out, r.info())
+		}
+	}
+	return out
+}
+
+// preferred returns the holder that hashing names for a pool: a VM of its
+// failure domain if there is one, else one of the region.
+func preferred(vms []vm.Info, id inventory.PoolID) (vm.Info, bool) {
+	var near []vm.Info
+	for _, v := range vms {
+		if v.FailureDomain == id.FailureDomain {
+			near = append(near, v)
+		}
+	}
+	if len(near) > 0 {
+		vms = near
+	}
+	return vm.Preferred(vms, id.String())
+}
+
+// takeoverCandidates prefers VMs past their grace, since the others may take
+// nothing over yet.
+func (c *core) takeoverCandidates(now time.Time) []vm.Info {
+	if vms := c.live(now, graceAge); len(vms) > 0 {
+		return vms
+	}
+	return c.live(now, 0)
+}
+
+// planTakeover takes all pools of one failure domain that hashing names this
+// VM for and that have no holder, in one transaction that also revokes the
+// leases of their expired holders.
+func (c *core) planTakeover(now time.Time) bool {
+	vms := c.takeoverCandidates(now)
+	pools := c.regionPools()
+	for _, domain := range sortedKeys(pools) {
+		row := c.domains[domain]
+		changed := map[string]*siblingpb.Assignment{}
+		revoke := map[vm.ID]bool{}
+		for _, id := range pools[domain] {
+			a := row.pools[id.Service]
+			free, dead := c.takeable(now, a)
+			if best, ok := preferred(vms, id); !free || !ok || best.ID != c.self.ID {
+				continue
+			}
+			next := &siblingpb.Assignment{Service: id.Service, VmId: string(c.self.ID), Incarnation: c.own.incarnation, Epoch: 1}
+			if a != nil {
+				next.Epoch = a.Epoch + 1
+				next.Prior = c.unresolved(a, dead)
+			}
+			changed[id.Service] = next
+			if dead {
+				revoke[vm.ID(a.VmId)] = true
+			}
+		}
+		if len(changed) == 0 {
+			continue
+		}
+		ops := []platform.Op{{Key: poolsKey(c.self.Region, domain), Value: row.encode(changed), IfVersion: row.version}}
+		for _, id := range sortedIDs(revoke) {
+			ops = append(ops, c.revocation(id, a0(row, id)))
+		}
+		c.commit(now, ops)
+		return true
+	}
+	return false
+}
+
+// a0 returns the incarnation that row names for a VM.
+func a0(row domainRow, id vm.ID) uint64 {
+	for _, a := range row.pools {
+		if a.VmId == string(id) {
+			return a.Incarnation
+		}
+	}
+	return 0
+}
+
+// takeable reports whether a pool has no holder. dead means that its holder's
+// lease row must be rewritten as revoked in the same transaction.
+func (c *core) takeable(now time.Time, a *siblingpb.Assignment) (free, dead bool) {
+	if a == nil {
+		return true, false
+	}
+	r, ok := c.vms[vm.ID(a.VmId)]
+	switch {
+	case !ok:
+		// The row was deleted. Writing it as revoked proves that it is absent.
+		return true, true
+	case r.Incarnation != a.Incarnation, r.State != active:
+		return true, false
+	case vm.ID(a.VmId) == c.self.ID:
+		return false, false
+	}
+	return c.expired(now, r), true
+}
+
+// unresolved returns the former holders of a pool that may still serve it.
+func (c *core) unresolved(a *siblingpb.Assignment, dead bool) []uint64 {
+	var out []uint64
+	if dead || c.isRevoked(a.Incarnation) {
+		out = append(out, a.Incarnation)
+	}
+	for _, inc := range a.Prior {
+		if c.isRevoked(inc) && !slices.Contains(out, inc) {
+			out = append(out, inc)
+		}
+	}
+	return out
+}
+
+// isRevoked reports whether a lease row shows inc as revoked. Once the VM has
+// registered again, or the row is deleted, inc holds nothing any more.
+func (c *core) isRevoked(inc uint64) bool {
+	r, ok := c.revokedRow(inc)
+	return ok && r.State == revoked
+}
+
+func (c *core) revokedRow(inc uint64) (leaseRow, bool) {
+	for _, r := range c.vms {
+		if r.Incarnation == inc && r.State == revoked {
+			return r, true
+		}
+	}
+	return leaseRow{}, false
+}
+
+// revocation rewrites the lease row of an expired holder, so that its renewal
+// conflicts.
+func (c *core) revocation(id vm.ID, inc uint64) platform.Op {
+	key := vmKey(c.self.Region, id)
+	r, ok := c.vms[id]
+	if !ok {
+		return platform.Op{Key: key, Value: encode(&siblingpb.LeaseRow{VmId: string(id), Incarnation: inc, State: revoked})}
+	}
+	m := proto.CloneOf(r.LeaseRow)
+	m.State = revoked
+	return platform.Op{Key: key, Value: encode(m), IfVersion: r.version}
+}
+
+// planCleanup revokes expired leases that hold no pool, so that they no longer
+// count as witnesses, and deletes rows that have served their purpose. One
+// chosen VM does it, one row at a time.
+func (c *core) planCleanup(now time.Time) bool {
+	if c.leaving {
+		return false
+	}
+	best, ok := vm.Preferred(c.takeoverCandidates(now), "cleanup")
+	if !ok || best.ID != c.self.ID {
+		return false
+	}
+	for _, id := range sortedIDs(c.vms) {
+		r := c.vms[id]
+		if id == c.self.ID {
+			continue
+		}
+		if r.State == active && c.expired(now, r) && !c.holdsAny(id, r.Incarnation) {
+			c.commit(now, []platform.Op{c.revocation(id, r.Incarnation)})
+			return true
+		}
+		if r.State != active && now.Sub(c.seen[id].since) > cleanupAfter && !c.holdsAny(id, r.Incarnation) &&
+			(r.State == released || c.lifted(now, r)) {
+			c.commit(now, []platform.Op{{Key: r.key, Delete: true, IfVersion: r.version}})
+			return true
+		}
+	}
+	return false
+}
+
+func (c *core) holdsAny(id vm.ID, inc uint64) bool {
+	for _, d := range c.domains {
+		for _, a := range d.pools {
+			if a.VmId == string(id) && a.Incarnation == inc {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func sortedIDs[V any](m map[vm.ID]V) []vm.ID {
+	ids := make([]vm.ID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/lease/table.go
@@ -0,0 +1,310 @@
+package lease
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// tableLane is the state of the requests for assignment rows and foreign lease
+// rows. At most one is in flight, so an answer is never older than the view.
+type tableLane struct {
+	scanned  bool // at least one scan succeeded
+	inFlight bool
+	next     time.Time // next scan
+	last     time.Time // end of the last scan
+	nextAll  time.Time
+	nextHand time.Time
+	hand     *handover // running planned handover
+	reads    []string  // failure domains whose row is to be read
+}
+
+// scanResult holds assignment rows, then lease rows, read in this order, so a
+// holder named by an assignment had written its lease row before.
+type scanResult struct {
+	pools, vms []platform.Row
+}
+
+func (c *core) tickTable(now time.Time) {
+	t := &c.table
+	if t.inFlight || c.done || c.handoverBusy() {
+		return
+	}
+	switch {
+	case len(t.reads) > 0:
+		t.inFlight = true
+		c.markPending(now)
+		c.emit(action{kind: actReadRow, key: poolsKey(c.self.Region, t.reads[0])})
+		t.reads = t.reads[1:]
+	case !now.Before(t.next) || (c.alert(now) && now.Sub(t.last) >= scanEveryAlert) || c.evidenceDue(now):
+		t.inFlight = true
+		c.markPending(now)
+		c.emit(action{kind: actScan})
+	case !now.Before(t.nextAll) && t.scanned:
+		t.inFlight = true
+		c.markPending(now)
+		c.emit(action{kind: actScanAll})
+	}
+}
+
+// alert reports whether rows may have changed: a sibling is silent or its
+// digest differs.
+func (c *core) alert(now time.Time) bool {
+	for _, r := range c.activeSiblings() {
+		id := vm.ID(r.VmId)
+		if now.Sub(c.lastHeard(id)) > silentAfter {
+			return true
+		}
+		if d, ok := c.digests[id]; ok && d != c.digest {
+			return true
+		}
+	}
+	return c.own.incarnation != 0 && !c.store.down && len(c.held) < c.assigned()
+}
+
+// assigned counts the entries that name the own incarnation.
+func (c *core) assigned() int {
+	n := 0
+	for _, d := range c.domains {
+		for _, a := range d.pools {
+			if a.Incarnation == c.own.incarnation {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// evidenceDue reports whether a lease has ended since the last scan, so that a
+// scan now can lead to a takeover.
+func (c *core) evidenceDue(now time.Time) bool {
+	for _, r := range c.activeSiblings() {
+		s := c.seen[vm.ID(r.VmId)]
+		if c.expired(now, r) && c.table.last.Sub(s.since) < evidenceAge {
+			return true
+		}
+	}
+	return false
+}
+
+// expired reports evidence that the lease of r has ended. Only the monotonic
+// clock counts: a jump of the wall clock is no evidence.
+func (c *core) expired(now time.Time, r leaseRow) bool {
+	s, ok := c.seen[vm.ID(r.VmId)]
+	return ok && s.incarnation == r.Incarnation && s.counter == r.Counter && now.Sub(s.since) >= evidenceAge
+}
+
+// observe notes a renewal counter from a row or a heartbeat.
+func (c *core) observe(now time.Time, id vm.ID, inc, counter uint64) {
+	s, ok := c.seen[id]
+	if !ok || s.incarnation != inc || counter > s.counter {
+		c.seen[id] = seen{incarnation: inc, counter: counter, since: now}
+		c.gen++
+	}
+	if _, ok := c.firstSeen[inc]; !ok {
+		c.firstSeen[inc] = now
+	}
+	c.owners[inc] = id
+}
+
+func (c *core) adoptLease(now time.Time, id vm.ID, r leaseRow, exists bool) {
+	c.gen++
+	if !exists {
+		delete(c.vms, id)
+		return
+	}
+	if old, had := c.vms[id]; had && old.Incarnation != r.Incarnation {
+		c.dropped[old.Incarnation] = true
+	}
+	if r.State == released {
+		c.dropped[r.Incarnation] = true
+	}
+	c.vms[id] = r
+	c.observe(now, id, r.Incarnation, r.Counter)
+	if r.State == revoked {
+		c.note(now, r.Incarnation)
+	}
+}
+
+func (c *core) scanDone(now time.Time, res scanResult, err error) {
+	t := &c.table
+	t.inFlight = false
+	if err != nil {
+		c.storeFailed()
+		t.next = now.Add(c.jitter(scanEveryAlert))
+		t.last = now
+		c.settle(now)
+		return
+	}
+	c.storeAnswered()
+	t.scanned, t.last = true, now
+	t.next = now.Add(scanEvery*4/5 + c.jitter(scanEvery/5))
+	domains := map[string]domainRow{}
+	for _, row := range res.pools {
+		if d, err := decodeDomain(row); err != nil {
+			c.logf(err.Error())
+		} else {
+			_, domain := cut(row.Key[len("pools/"):])
+			domains[domain] = d
+		}
+	}
+	present := map[vm.ID]bool{}
+	for _, row := range res.vms {
+		r, err := decodeLease(row)
+		if err != nil {
+			c.logf(err.Error())
+			continue
+		}
+		present[vm.ID(r.VmId)] = true
+		if vm.ID(r.VmId) != c.self.ID || c.own.incarnation == 0 {
+			c.adoptLease(now, vm.ID(r.VmId), r, true)
+		}
+	}
+	for id := range c.vms {
+		if !present[id] && (id != c.self.ID || c.own.incarnation == 0) {
+			delete(c.vms, id)
+		}
+	}
+	c.setDomains(domains)
+	c.forget(now)
+	c.plan(now)
+	c.settle(now)
+}
+
+// setDomains replaces the view of the assignment rows.
+func (c *core) setDomains(domains map[string]domainRow) {
+	before := c.digest
+	c.gen++
+	c.domains = domains
+	c.digest = digest(domains)
+	c.dropForeign()
+	if before != c.digest {
+		c.emit(action{kind: actBeat})
+	}
+}
+
+// dropForeign ends the service of pools whose row names another holder and of
+// pools that the configuration no longer has.
+func (c *core) dropForeign() {
+	snap := c.snapshot()
+	for _, id := range c.heldIDs() {
+		a := c.domains[id.FailureDomain].pools[id.Service]
+		if a != nil && a.Incarnation == c.own.incarnation && snap != nil && len(snap.Targets(id)) > 0 {
+			continue
+		}
+		c.drop(id)
+	}
+}
+
+func (c *core) drop(id inventory.PoolID) {
+	h := c.held[id]
+	delete(c.held, id)
+	c.emit(action{kind: actDrop, pool: id, epoch: h.epoch})
+}
+
+// rowRead takes one assignment row; version 0 stands for a missing row.
+func (c *core) rowRead(now time.Time, row platform.Row, err error) {
+	c.table.inFlight = false
+	if err != nil {
+		c.storeFailed()
+		c.table.next = now
+	} else {
+		c.storeAnswered()
+		c.applyRows(now, []platform.Row{row})
+	}
+	c.settle(now)
+}
+
+func (c *core) scanAllDone(now time.Time, rows []platform.Row, err error) {
+	c.table.inFlight = false
+	if err != nil {
+		c.storeFailed()
+		c.table.nextAll = now.Add(c.jitter(scanEvery))
+		return
+	}
+	c.storeAnswered()
+	c.table.nextAll = now.Add(c.jitter(scanAllEvery))
+	c.gen++
+	clear(c.far)
+	for _, row := range rows {
+		if r, err := decodeLease(row); err == nil && r.region != c.self.Region && r.State == active {
+			c.far[vm.ID(r.VmId)] = r
+			c.observe(now, vm.ID(r.VmId), r.Incarnation, r.Counter)
+		}
+	}
+	c.settle(now)
+}
+
+// commitDone takes the answer to a takeover, a revocation or a handover.
+func (c *core) commitDone(now time.Time, rows []platform.Row, err error) {
+	c.table.inFlight = false
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		c.storeAnswered()
+		c.applyRows(now, rows)
+		if c.table.hand != nil {
+			c.handoverWritten(now)
+		}
+		c.plan(now)
+	case errors.As(err, &conflict):
+		c.storeAnswered()
+		c.applyRows(now, conflict.Rows)
+		if c.table.hand != nil {
+			c.handoverSettled(now)
+		}
+		c.table.next = now.Add(c.jitter(20 * time.Millisecond))
+	case errors.Is(err, platform.ErrUnavailable):
+		c.storeFailed()
+		c.table.next = now.Add(c.jitter(scanEveryAlert))
+		if c.table.hand != nil && !c.table.hand.uncertain {
+			c.handoverAborted(now)
+		}
+	default:
+		c.storeFailed()
+		if c.table.hand != nil {
+			c.table.hand.uncertain = true
+		}
+		// The scan reads back what took effect.
+		c.table.next = now.Add(c.jitter(scanEveryAlert / 4))
+	}
+	c.settle(now)
+}
+
+// applyRows merges rows written or found in conflict into the view.
+func (c *core) applyRows(now time.Time, rows []platform.Row) {
+	domains := maps.Clone(c.domains)
+	for _, row := range rows {
+		if region, id := splitKey(row.Key); len(row.Key) > 3 && row.Key[:3] == vmPrefix {
+			if region != c.self.Region || vm.ID(id) == c.self.ID && c.own.incarnation != 0 {
+				continue
+			}
+			r, err := decodeLease(row)
+			if err == nil {
+				c.adoptLease(now, vm.ID(id), r, row.Version != 0)
+			}
+			continue
+		}
+		_, domain := cut(row.Key[len("pools/"):])
+		if d, err := decodeDomain(row); err == nil && row.Version != 0 {
+			domains[domain] = d
+		} else {
+			delete(domains, domain)
+		}
+	}
+	c.setDomains(domains)
+}
+
+func (c *core) lastHeard(id vm.ID) time.Time {
+	if t, ok := c.heard[id]; ok {
+		return t
+	}
+	return c.started
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/lease/view.go
@@ -0,0 +1,65 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// view is what other packages may read without a lock. It is immutable.
+type view struct {
+	members  []vm.Info // registered VMs of the region, this one included
+	siblings []vm.Info // all other VMs known from lease rows
+	holders  map[inventory.PoolID]vm.Info
+	held     map[inventory.PoolID]uint64
+	counters map[vm.ID]seen
+}
+
+func (c *core) buildView() *view {
+	v := &view{
+		holders: map[inventory.PoolID]vm.Info{}, held: make(map[inventory.PoolID]uint64, len(c.held)),
+		counters: map[vm.ID]seen{},
+	}
+	for id, r := range c.vms {
+		if r.State != active {
+			continue
+		}
+		v.members = append(v.members, r.info())
+		v.counters[id] = c.seen[id]
+		if id != c.self.ID {
+			v.siblings = append(v.siblings, r.info())
+		}
+	}
+	for id, r := range c.far {
+		v.siblings = append(v.siblings, r.info())
+		v.counters[id] = c.seen[id]
+	}
+	for domain, d := range c.domains {
+		for service, a := range d.pools {
+			r, ok := c.vms[vm.ID(a.VmId)]
+			if !ok || r.Incarnation != a.Incarnation || r.State != active {
+				continue
+			}
+			if _, isRevoked := c.noted[a.Incarnation]; !isRevoked {
+				v.holders[inventory.PoolID{Service: service, FailureDomain: domain}] = r.info()
+			}
+		}
+	}
+	for id, h := range c.held {
+		v.held[id] = h.epoch
+	}
+	byID := func(a, b vm.Info) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(v.members, byID)
+	slices.SortFunc(v.siblings, byID)
+	return v
+}
+
+// alive reports whether the lease of an incarnation may still run. The own
+// lease is alive while the VM is registered.
+func (v *view) alive(now time.Time, self vm.ID, id vm.ID, inc uint64) bool {
+	s, ok := v.counters[id]
+	return ok && s.incarnation == inc && (id == self || now.Sub(s.since) < evidenceAge)
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,226 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/coder/quartz"
+	"github.com/go-kit/log"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+const (
+	tickEvery       = 50 * time.Millisecond
+	exchangeTimeout = 900 * time.Millisecond
+	workers         = 16
+)
+
+// Lease is implemented by lease.Keeper.
+type Lease interface {
+	FillHeartbeat(hb *siblingpb.Heartbeat) (sentAs uint64)
+	AnswerHeartbeat(req, answer *siblingpb.Heartbeat)
+	HeartbeatAnswered(wrote time.Time, sentAs uint64, answer *siblingpb.Heartbeat)
+	Siblings() []vm.Info
+}
+
+// Config holds what a Table needs. VMs and Seeds may be empty; all functions
+// may be nil.
+type Config struct {
+	Self      vm.Info
+	Exchanger Exchanger
+	Lease     Lease
+	VMs       platform.VMList
+	Seeds     []string // sibling addresses known from the start settings
+	Clock     quartz.Clock
+	Logger    log.Logger
+
+	// Version returns the configuration version in force and the age of its
+	// confirmation; ok is false without one.
+	Version func() (version uint64, confirmedAge time.Duration, ok bool)
+	// Loads returns the counts of all pools held.
+	Loads func() []*siblingpb.PoolLoad
+	// OnVersion and OnLoads take news of siblings. They run on the goroutine
+	// of the exchange, under no lock.
+	OnVersion func(now time.Time, from vm.Info, version uint64, confirmedAge time.Duration)
+	OnLoads   func(now time.Time, from vm.Info, loads []*siblingpb.PoolLoad)
+}
+
+// neverConfirmed is the age in a heartbeat without a confirmation.
+const neverConfirmed = ^uint32(0)
+
+// Table sends and answers heartbeats and knows who was heard when. All methods
+// may be called from any goroutine.
+type Table struct {
+	cfg     Config
+	workers pond.Pool
+
+	mu       sync.Mutex
+	book     *book
+	nextList time.Time
+
+	hurry atomic.Bool
+	list  atomic.Pointer[listing]
+}
+
+// NewTable returns a table that sends nothing before Run.
+func NewTable(cfg Config) *Table {
+	return &Table{cfg: cfg, book: newBook(cfg.Self, cfg.Seeds), workers: pond.NewPool(workers)}
+}
+
+// Run sends heartbeats until ctx ends.
+func (t *Table) Run(ctx context.Context) error {
+	defer t.workers.StopAndWait()
+	err := t.cfg.Clock.TickerFunc(ctx, tickEvery, func() error {
+		t.tick(ctx)
+		return nil
+	}, "membership").Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (t *Table) tick(ctx context.Context) {
+	siblings := t.cfg.Lease.Siblings()
+	now := t.cfg.Clock.Now()
+	t.mu.Lock()
+	due := t.book.due(now, siblings, t.hurry.Swap(false))
+	readList := t.cfg.VMs != nil && !now.Before(t.nextList)
+	if readList {
+		t.nextList = now.Add(listEvery)
+	}
+	t.mu.Unlock()
+	for _, d := range due {
+		_ = t.workers.Go(func() { t.beat(ctx, d.info) })
+	}
+	if readList {
+		_ = t.workers.Go(func() { t.readList(ctx) })
+	}
+}
+
+// Beat sends heartbeats to the own region soon. It does not block.
+// The keeper calls it under its lock, so it takes none.
+func (t *Table) Beat() { t.hurry.Store(true) }
+
+// Gone reports that the platform removed a VM: a list of VMs read within the
+// last 30 s does not name it. It takes no lock.
+func (t *Table) Gone(id vm.ID) bool {
+	return t.list.Load().gone(t.cfg.Clock.Now(), id)
+}
+
+func (t *Table) beat(ctx context.Context, to vm.Info) {
+	ok := false
+	defer func() {
+		t.mu.Lock()
+		t.book.done(to.ID, ok)
+		t.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	wrote := t.cfg.Clock.Now()
+	hb := t.fill(wrote, to.ID)
+	sentAs := t.cfg.Lease.FillHeartbeat(hb)
+	resp, err := t.cfg.Exchanger.Exchange(ctx, to, &siblingpb.Request{Kind: &siblingpb.Request_Heartbeat{Heartbeat: hb}})
+	if err != nil {
+		return // silence shows in LastHeard
+	}
+	answer := resp.GetHeartbeat()
+	if answer == nil {
+		_ = t.cfg.Logger.Log("part", "membership", "msg", "answer without heartbeat", "from", to.SiblingAddress)
+		return
+	}
+	ok = true
+	t.hear(answer)
+	t.cfg.Lease.HeartbeatAnswered(wrote, sentAs, answer)
+}
+
+// Handle answers the heartbeat of a sibling.
+func (t *Table) Handle(_ context.Context, req *siblingpb.Heartbeat) (*siblingpb.Heartbeat, error) {
+	if req.GetVmId() == "" {
+		return nil, fmt.Errorf("heartbeat without VM id")
+	}
+	t.hear(req)
+	answer := t.fill(t.cfg.Clock.Now(), vm.ID(req.VmId))
+	t.cfg.Lease.AnswerHeartbeat(req, answer)
+	return answer, nil
+}
+
+func (t *Table) hear(hb *siblingpb.Heartbeat) {
+	now := t.cfg.Clock.Now()
+	t.mu.Lock()
+	from := t.book.hear(now, hb)
+	t.mu.Unlock()
+	if t.cfg.OnVersion != nil && hb.ConfigVersion != 0 && hb.ConfirmedAgeMs != neverConfirmed {
+		t.cfg.OnVersion(now, from, hb.ConfigVersion, time.Duration(hb.ConfirmedAgeMs)*time.Millisecond)
+	}
+	if t.cfg.OnLoads != nil && len(hb.Loads) > 0 {
+		t.cfg.OnLoads(now, from, hb.Loads)
+	}
+}
+
+// fill writes the fields of a heartbeat that are not the lease's.
+func (t *Table) fill(now time.Time, to vm.ID) *siblingpb.Heartbeat {
+	hb := &siblingpb.Heartbeat{ConfirmedAgeMs: neverConfirmed}
+	if t.cfg.Version != nil {
+		version, age, ok := t.cfg.Version()
+		hb.ConfigVersion = version
+		if ok {
+			hb.ConfirmedAgeMs = uint32(min(age.Milliseconds(), int64(neverConfirmed-1)))
+		}
+	}
+	if t.cfg.Loads != nil && to != "" {
+		loads := t.cfg.Loads()
+		t.mu.Lock()
+		hb.Loads = t.book.loadsFor(now, to, loads)
+		t.mu.Unlock()
+	}
+	return hb
+}
+
+func (t *Table) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	list, err := t.cfg.VMs.List(ctx)
+	if err != nil {
+		return // an old list ages out
+	}
+	t.list.Store(&listing{entries: list, at: t.cfg.Clock.Now()})
+}
+
+// Siblings returns the VMs that heartbeats go to, sorted by ID.
+func (t *Table) Siblings() []vm.Info {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.book.chosen()
+}
+
+// Status returns what is known of all siblings, sorted by ID.
+func (t *Table) Status() []Status {
+	now := t.cfg.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.book.statuses(now, t.list.Load())
+}
+
+// LastHeard returns when a sibling was last heard.
+func (t *Table) LastHeard(id vm.ID) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.book.peers[id]
+	if !ok || p.LastHeard.IsZero() {
+		return time.Time{}, false
+	}
+	return p.LastHeard, true
+}
+
+// Exchange sends a request to a sibling.
+func (t *Table) Exchange(ctx context.Context, to vm.Info, req *siblingpb.Request) (*siblingpb.Response, error) {
+	return t.cfg.Exchanger.Exchange(ctx, to, req)
+}
