gateway, daemon: serve a call from end to end

Cause: the parts need one process in which they work together (thin path). Ruled out: lazy lookups in the injector, which samber/do reports as a cycle; late-bound functions break it. Change: receiver side of the path, daemon wiring, graceful stop, state dump, load tool and stand-ins wired.

--- /dev/null
+++ b/cmd/goldcresthinge-load/factory.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"goldcresthinge.example/goldcresthinge/internal/daemon"
+	"goldcresthinge.example/goldcresthinge/internal/load"
+	"goldcresthinge.example/goldcresthinge/internal/operator"
+	platformstandin "goldcresthinge.example/goldcresthinge/internal/platform/standin"
+	"goldcresthinge.example/goldcresthinge/internal/settings"
+)
+
+// logVariable names a file that the entry VMs log to. Without it their logs
+// are dropped, so that the table of the run stays readable.
+const logVariable = "GOLDCRESTHINGE_LOAD_LOG"
+
+type entryVM struct {
+	*daemon.Daemon
+}
+
+// Address implements load.EntryVM.
+func (v entryVM) Address() string { return v.CallerAddress() }
+
+func factory() load.Factory {
+	logs := io.Discard
+	if name := os.Getenv(logVariable); name != "" {
+		if f, err := os.Create(name); err == nil {
+			logs = f
+		}
+	}
+	return load.Factory{
+		StartPlatform: func(ctx context.Context, address string) (load.Platform, error) {
+			return platformstandin.Listen(ctx, address, 1)
+		},
+		StartEntryVM: func(ctx context.Context, spec load.EntryVMSpec) (load.EntryVM, error) {
+			return startEntryVM(ctx, spec, logs)
+		},
+		Apply: apply,
+		Ready: ready,
+	}
+}
+
+func startEntryVM(ctx context.Context, spec load.EntryVMSpec, logs io.Writer) (load.EntryVM, error) {
+	s, err := settings.Parse([]string{
+		"--id", spec.ID, "--region", spec.Region, "--failure-domain", spec.FailureDomain,
+		"--caller-listen", spec.CallerAddress, "--sibling-listen", spec.SiblingAddress,
+		"--operator-listen", spec.OperatorAddress, "--platform", "http://" + spec.PlatformAddress,
+	}, io.Discard)
+	if err != nil {
+		return nil, err
+	}
+	opts := []daemon.Option{daemon.WithLog(logs)}
+	if spec.Dial != nil {
+		opts = append(opts, daemon.WithDialer(spec.Dial))
+	}
+	d, err := daemon.Start(ctx, s, opts...)
+	if err != nil {
+		return nil, err
+	}
+	return entryVM{d}, nil
+}
+
+// apply makes document the configuration that follows the current one.
+func apply(ctx context.Context, via load.EntryVMSpec, document []byte) error {
+	base := "http://" + via.OperatorAddress
+	var current operator.Document
+	status, err := request(ctx, http.MethodGet, base+"/v1/config", nil, &current)
+	if err != nil && status != http.StatusNotFound {
+		return err
+	}
+	_, err = request(ctx, http.MethodPut, fmt.Sprintf("%s/v1/config?base=%d", base, current.Version), document, nil)
+	return err
+}
+
+func ready(ctx context.Context, spec load.EntryVMSpec) bool {
+	_, err := request(ctx, http.MethodGet, "http://"+spec.OperatorAddress+"/v1/readyz", nil, nil)
+	return err == nil
+}
+
+func request(ctx context.Context, method, url string, body []byte, into any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/yaml")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return resp.StatusCode, fmt.Errorf("%s %s: %s: %s", method, url, resp.Status, answer)
+	}
+	if into == nil {
+		return resp.StatusCode, nil
+	}
+	return resp.StatusCode, json.Unmarshal(answer, into)
+}
--- a/cmd/goldcresthinge-load/main.go
+++ b/cmd/goldcresthinge-load/main.go
@@ -11,10 +11,6 @@
 	"goldcresthinge.example/goldcresthinge/internal/load"
 )
 
-// factory is filled in where entry VMs and the platform stand-in are part of
-// the build.
-var factory load.Factory
-
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
@@ -25,5 +21,5 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return load.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, factory)
+	return load.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, factory())
 }
--- a/cmd/goldcresthinge-standin/main.go
+++ b/cmd/goldcresthinge-standin/main.go
@@ -12,9 +12,6 @@
 	"goldcresthinge.example/goldcresthinge/internal/standin"
 )
 
-// startPlatform is set where the platform stand-in is part of the build.
-var startPlatform standin.PlatformStarter
-
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
--- a/internal/backend/sender.go
+++ b/internal/backend/sender.go
@@ -30,13 +30,21 @@
 
 // Sender holds the connections to targets. It may be used from any goroutine.
 type Sender struct {
+	dial Dialer
+
 	mu         sync.Mutex
 	transports map[int]*http.Transport // by connection limit
 }
 
-// New returns a Sender without connections.
-func New() *Sender {
-	return &Sender{transports: map[int]*http.Transport{}}
+// Dialer opens a TCP connection.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// New returns a Sender without connections. dial may be nil.
+func New(dial Dialer) *Sender {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &Sender{dial: dial, transports: map[int]*http.Transport{}}
 }
 
 // Close closes idle connections.
@@ -177,17 +185,16 @@
 	defer s.mu.Unlock()
 	t, ok := s.transports[connections]
 	if !ok {
-		t = newTransport(connections)
+		t = newTransport(s.dial, connections)
 		s.transports[connections] = t
 	}
 	return t
 }
 
-func newTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(dial Dialer, connections int) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/backend/sender_test.go
+++ b/internal/backend/sender_test.go
@@ -57,7 +57,7 @@
 	var sender *backend.Sender
 
 	BeforeEach(func() {
-		sender = backend.New()
+		sender = backend.New(nil)
 		DeferCleanup(sender.Close)
 	})
 
--- /dev/null
+++ b/internal/daemon/process.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/operator"
+)
+
+// Process implements operator.Process.
+func (d *Daemon) Process(now time.Time) operator.ProcessStatus {
+	reasons := d.notReady(now)
+	if d.draining.Load() {
+		reasons = append(reasons, "draining")
+	}
+	mode := d.keeper.Mode(now)
+	_, reachable := d.config.Confirmed(now)
+	return operator.ProcessStatus{
+		ID:             d.settings.ID,
+		Incarnation:    d.keeper.Incarnation(),
+		Region:         d.settings.Region,
+		FailureDomain:  d.settings.FailureDomain,
+		Ready:          len(reasons) == 0,
+		NotReady:       reasons,
+		Draining:       d.draining.Load(),
+		LeaseMode:      mode.String(),
+		StoreReachable: reachable,
+		CallsInFlight:  d.gateway.InFlight() + int(d.forwards.Load()),
+	}
+}
+
+// Targets implements operator.Process.
+func (d *Daemon) Targets(now time.Time) []operator.Target {
+	return lo.Map(d.holder.Describe(now), func(t operator.Target, _ int) operator.Target {
+		t.Holder = d.settings.ID
+		return t
+	})
+}
+
+// Holders implements operator.Process.
+func (d *Daemon) Holders(now time.Time) []operator.Holder {
+	snap := d.config.Current()
+	if snap == nil {
+		return nil
+	}
+	var out []operator.Holder
+	for _, svc := range snap.Document.Services {
+		for _, id := range snap.Pools(svc.Name) {
+			if snap.RegionOf(id.FailureDomain) == d.settings.Region {
+				out = append(out, d.describeHolder(now, id))
+			}
+		}
+	}
+	return out
+}
+
+func (d *Daemon) describeHolder(_ time.Time, id inventory.PoolID) operator.Holder {
+	h := operator.Holder{Service: id.Service, FailureDomain: id.FailureDomain}
+	if info, ok := d.keeper.HolderOf(id); ok {
+		h.Holder = string(info.ID)
+	}
+	if load := d.holder.Load(id); load != nil {
+		h.Epoch = load.GetEpoch()
+		h.Free = int(load.GetFree())
+		h.Waiting = int(load.GetWaiting())
+	}
+	return h
+}
+
+// dump is the whole state of the process.
+type dump struct {
+	At       time.Time              `json:"at"`
+	Process  operator.ProcessStatus `json:"process"`
+	Version  uint64                 `json:"version"`
+	Holders  []operator.Holder      `json:"holders"`
+	Targets  []operator.Target      `json:"targets"`
+	Siblings []siblingStatus        `json:"siblings"`
+}
+
+type siblingStatus struct {
+	ID             string `json:"id"`
+	Address        string `json:"address"`
+	SilentMs       int64  `json:"silent_ms"` // -1: never heard
+	StoreReachable bool   `json:"store_reachable"`
+	Leaving        bool   `json:"leaving"`
+	Version        uint64 `json:"version"`
+}
+
+// Dump implements operator.Process.
+func (d *Daemon) Dump(now time.Time) any {
+	out := dump{
+		At:      now,
+		Process: d.Process(now),
+		Holders: d.Holders(now),
+		Targets: d.Targets(now),
+	}
+	if snap := d.config.Current(); snap != nil {
+		out.Version = snap.Version
+	}
+	for _, s := range d.members.Status() {
+		silent := int64(-1)
+		if !s.LastHeard.IsZero() {
+			silent = now.Sub(s.LastHeard).Milliseconds()
+		}
+		out.Siblings = append(out.Siblings, siblingStatus{
+			ID: string(s.Info.ID), Address: s.Info.SiblingAddress, SilentMs: silent,
+			StoreReachable: s.StoreReachable, Leaving: s.Leaving, Version: s.ConfigVersion,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/wire.go
@@ -0,0 +1,297 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/coder/quartz"
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/backend"
+	"goldcresthinge.example/goldcresthinge/internal/claim"
+	"goldcresthinge.example/goldcresthinge/internal/dispatch"
+	"goldcresthinge.example/goldcresthinge/internal/gateway"
+	"goldcresthinge.example/goldcresthinge/internal/holder"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/lease"
+	"goldcresthinge.example/goldcresthinge/internal/membership"
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+	"goldcresthinge.example/goldcresthinge/internal/platform/httpplatform"
+	"goldcresthinge.example/goldcresthinge/internal/retry"
+	"goldcresthinge.example/goldcresthinge/internal/rollout"
+	"goldcresthinge.example/goldcresthinge/internal/router"
+	"goldcresthinge.example/goldcresthinge/internal/settings"
+	"goldcresthinge.example/goldcresthinge/internal/sibling"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+const (
+	// workers bounds the background work that runs at once.
+	workers = 16
+	// workQueue bounds the background work that waits.
+	workQueue = 1024
+	// bufferedBodies bounds the request bodies held at once. Unit: bytes.
+	bufferedBodies = 64 << 20
+	// metricsInterval is the time between two reports of the metrics.
+	metricsInterval = time.Second
+)
+
+// lateHolder breaks the cycle between the keeper, which gives pools to the
+// holder, and the holder, which asks the keeper for the lease.
+type lateHolder struct {
+	*holder.Holder
+}
+
+// link names functions of parts that are made later than their users.
+type link struct {
+	members *membership.Table
+	config  *rollout.Store
+	ended   func(id inventory.PoolID, epoch uint64, target string)
+	ready   func(now time.Time) bool
+}
+
+// metricsReport is the tally scope with the handler that shows it.
+type metricsReport struct {
+	scope   tally.Scope
+	handler http.Handler
+	close   func() error
+}
+
+// provide registers the constructors of all parts. Nothing runs before Start.
+func provide(i do.Injector, s *settings.Settings, o options) {
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, s.VM())
+	do.ProvideValue[quartz.Clock](i, quartz.NewReal())
+	do.ProvideValue(i, newLogger(s, o))
+	do.ProvideValue(i, &link{})
+	do.ProvideValue(i, &lateHolder{})
+	do.ProvideValue(i, pond.NewPool(workers, pond.WithQueueSize(workQueue), pond.WithNonBlocking(true)))
+	do.ProvideValue(i, dispatch.NewTable(rand.Uint64()))
+	do.ProvideValue(i, retry.NewBudget(s.RetryShare))
+	do.ProvideValue(i, backend.New(backend.Dialer(o.dial)))
+	do.Provide(i, provideMetrics)
+	do.Provide(i, func(do.Injector) (*httpplatform.Client, error) {
+		return httpplatform.New(httpplatform.Options{BaseURL: s.Platform, VM: s.ID, Dial: o.dial}), nil
+	})
+	do.Provide(i, func(i do.Injector) (platform.Table, error) {
+		return do.MustInvoke[*httpplatform.Client](i), nil
+	})
+	do.Provide(i, func(i do.Injector) (*sibling.Client, error) {
+		return provideSiblingClient(i, o)
+	})
+	do.Provide(i, provideKeeper)
+	do.Provide(i, provideMembers)
+	do.Provide(i, provideRollout)
+	do.Provide(i, provideHolder)
+	do.Provide(i, provideRouter)
+	do.Provide(i, provideLedger)
+	do.Provide(i, provideGateway)
+}
+
+func newLogger(s *settings.Settings, o options) log.Logger {
+	w := o.log
+	if w == nil {
+		w = os.Stderr
+	}
+	w = log.NewSyncWriter(w)
+	logger := log.NewLogfmtLogger(w)
+	if s.LogFormat == "json" {
+		logger = log.NewJSONLogger(w)
+	}
+	return log.With(logger, "ts", log.DefaultTimestampUTC, "vm", s.ID)
+}
+
+func provideMetrics(i do.Injector) (*metricsReport, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	// A registry of its own lets several entry VMs run in one process.
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "goldcresthinge",
+		Tags:           map[string]string{"vm": s.ID, "region": s.Region},
+		CachedReporter: reporter,
+		Separator:      tallyprom.DefaultSeparator,
+	}, metricsInterval)
+	return &metricsReport{scope: scope, handler: reporter.HTTPHandler(), close: closer.Close}, nil
+}
+
+func provideSiblingClient(i do.Injector, o options) (*sibling.Client, error) {
+	table := do.MustInvoke[*dispatch.Table](i)
+	scope := do.MustInvoke[*metricsReport](i).scope
+	clock := do.MustInvoke[quartz.Clock](i)
+	sent, received := scope.Counter("sibling_bytes_sent"), scope.Counter("sibling_bytes_received")
+	observe := func(l *siblingpb.PoolLoad) { observeLoad(clock.Now(), table, l) }
+	count := func(_ string, out, in int) {
+		sent.Inc(int64(out))
+		received.Inc(int64(in))
+	}
+	return sibling.NewClient(observe, count, sibling.Dialer(o.dial)), nil
+}
+
+func observeLoad(now time.Time, table *dispatch.Table, l *siblingpb.PoolLoad) {
+	id := inventory.PoolID{Service: l.GetService(), FailureDomain: l.GetFailureDomain()}
+	table.Observe(now, id, int(l.GetFree()), int(l.GetWaiting()))
+}
+
+func provideKeeper(i do.Injector) (*lease.Keeper, error) {
+	ln := do.MustInvoke[*link](i)
+	return lease.NewKeeper(lease.Config{
+		Self:     do.MustInvoke[vm.Info](i),
+		Table:    do.MustInvoke[platform.Table](i),
+		Pools:    do.MustInvoke[*lateHolder](i),
+		Snapshot: func() *inventory.Snapshot { return ln.config.Current() },
+		Exchanger: exchangerFunc(func(ctx context.Context, to vm.Info, req *siblingpb.Request) (*siblingpb.Response, error) {
+			return ln.members.Exchange(ctx, to, req)
+		}),
+		Clock:  do.MustInvoke[quartz.Clock](i),
+		Logger: do.MustInvoke[log.Logger](i),
+		Seed:   rand.Uint64(),
+	}), nil
+}
+
+type exchangerFunc func(ctx context.Context, to vm.Info, req *siblingpb.Request) (*siblingpb.Response, error)
+
+// Exchange implements membership.Exchanger.
+func (f exchangerFunc) Exchange(ctx context.Context, to vm.Info, req *siblingpb.Request) (*siblingpb.Response, error) {
+	return f(ctx, to, req)
+}
+
+func provideMembers(i do.Injector) (*membership.Table, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	table := do.MustInvoke[*dispatch.Table](i)
+	keeper := do.MustInvoke[*lease.Keeper](i)
+	late := do.MustInvoke[*lateHolder](i)
+	ln := do.MustInvoke[*link](i)
+	members := membership.NewTable(membership.Config{
+		Self:      do.MustInvoke[vm.Info](i),
+		Exchanger: do.MustInvoke[*sibling.Client](i),
+		Lease:     keeper,
+		VMs:       do.MustInvoke[*httpplatform.Client](i).VMs(),
+		Seeds:     s.Seeds,
+		Clock:     do.MustInvoke[quartz.Clock](i),
+		Logger:    do.MustInvoke[log.Logger](i),
+		Version: func() (uint64, time.Duration, bool) {
+			snap := ln.config.Current()
+			if snap == nil {
+				return 0, 0, false
+			}
+			age, ok := ln.config.Confirmed(time.Now())
+			return snap.Version, age, ok
+		},
+		Loads: func() []*siblingpb.PoolLoad { return late.Loads() },
+		OnVersion: func(now time.Time, from vm.Info, version uint64, age time.Duration) {
+			ln.config.ObserveSibling(now, from, version, age)
+		},
+		OnLoads: func(now time.Time, _ vm.Info, loads []*siblingpb.PoolLoad) {
+			for _, l := range loads {
+				observeLoad(now, table, l)
+			}
+		},
+	})
+	keeper.Attach(members.Beat, members.Gone)
+	ln.members = members
+	return members, nil
+}
+
+func provideRollout(i do.Injector) (*rollout.Store, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	client := do.MustInvoke[*httpplatform.Client](i)
+	config := rollout.New(rollout.Config{
+		Self:    do.MustInvoke[vm.Info](i),
+		Table:   client,
+		Objects: client.Objects(),
+		VMs:     client.VMs(),
+		Peers:   do.MustInvoke[*membership.Table](i),
+		Seeds:   s.Seeds,
+		Clock:   do.MustInvoke[quartz.Clock](i),
+		Logger:  do.MustInvoke[log.Logger](i),
+		Metrics: do.MustInvoke[*metricsReport](i).scope,
+	})
+	do.MustInvoke[*link](i).config = config
+	return config, nil
+}
+
+func provideHolder(i do.Injector) (*holder.Holder, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	ln := do.MustInvoke[*link](i)
+	config := do.MustInvoke[*rollout.Store](i)
+	h := holder.New(holder.Config{
+		Self:       do.MustInvoke[vm.Info](i),
+		Ownership:  do.MustInvoke[*lease.Keeper](i),
+		Sender:     do.MustInvoke[*backend.Sender](i),
+		Snapshot:   config.Current,
+		Ready:      func(now time.Time) bool { return ln.ready(now) },
+		Clock:      do.MustInvoke[quartz.Clock](i),
+		Log:        do.MustInvoke[log.Logger](i),
+		Scope:      do.MustInvoke[*metricsReport](i).scope,
+		QueueLimit: s.QueueLimit,
+		Ended: func(id inventory.PoolID, epoch uint64, target string) {
+			ln.ended(id, epoch, target)
+		},
+	})
+	do.MustInvoke[*lateHolder](i).Holder = h
+	return h, nil
+}
+
+func provideRouter(i do.Injector) (*router.Router, error) {
+	members := do.MustInvoke[*membership.Table](i)
+	return router.New(
+		do.MustInvoke[vm.Info](i),
+		do.MustInvoke[*rollout.Store](i).Current,
+		do.MustInvoke[*lease.Keeper](i),
+		func() []vm.Info { return liveSiblings(time.Now(), members) },
+		do.MustInvoke[*dispatch.Table](i),
+	), nil
+}
+
+func provideLedger(i do.Injector) (*claim.Ledger, error) {
+	self := do.MustInvoke[vm.Info](i)
+	keeper := do.MustInvoke[*lease.Keeper](i)
+	return claim.New(
+		do.MustInvoke[platform.Table](i),
+		func() vm.Info {
+			info := self
+			info.Incarnation = keeper.Incarnation()
+			return info
+		},
+		keeper,
+		do.MustInvoke[quartz.Clock](i),
+		do.MustInvoke[log.Logger](i),
+		do.MustInvoke[*metricsReport](i).scope,
+	), nil
+}
+
+func provideGateway(i do.Injector) (*gateway.Gateway, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	ln := do.MustInvoke[*link](i)
+	return gateway.New(gateway.Config{
+		Self:             do.MustInvoke[vm.Info](i),
+		Snapshot:         do.MustInvoke[*rollout.Store](i).Current,
+		Holder:           do.MustInvoke[*holder.Holder](i),
+		Forwarder:        do.MustInvoke[*sibling.Client](i),
+		Claims:           do.MustInvoke[*claim.Ledger](i),
+		Table:            do.MustInvoke[*dispatch.Table](i),
+		Budget:           do.MustInvoke[*retry.Budget](i),
+		Remote:           do.MustInvoke[*router.Router](i),
+		Ready:            func(now time.Time) bool { return ln.ready(now) },
+		Clock:            do.MustInvoke[quartz.Clock](i),
+		Log:              do.MustInvoke[log.Logger](i),
+		Scope:            do.MustInvoke[*metricsReport](i).scope,
+		MaxCalls:         s.ServiceConcurrency,
+		MaxBody:          int64(s.MaxBodyBytes),
+		MaxBufferedBytes: bufferedBodies,
+	}), nil
+}
+
+// dialFunc opens a TCP connection.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
--- /dev/null
+++ b/internal/gateway/accept.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/call"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+)
+
+const (
+	// maxDepth ends loops of nested calls; real calls are up to 27 deep.
+	maxDepth = 32
+	// maxDeadline bounds the deadline that a caller may ask for.
+	maxDeadline = 5 * time.Minute
+	// settleTimeout bounds the settling of a claim after the answer.
+	settleTimeout = 2 * time.Second
+)
+
+// accept turns a request into a call without its body, or says why it is not
+// run.
+func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*call.Call, *outcome.Error) {
+	if !g.cfg.Ready(now) {
+		return nil, outcome.Busy(outcome.ReasonNotReady, time.Second)
+	}
+	snap := g.cfg.Snapshot()
+	if snap == nil {
+		return nil, outcome.Busy(outcome.ReasonNotReady, time.Second)
+	}
+	route, ok := snap.Route(r.Method, r.URL.Path)
+	if !ok {
+		return nil, outcome.Refuse(http.StatusNotFound, outcome.ReasonNoRoute, "")
+	}
+	tenant := r.Header.Get(outcome.HeaderTenant)
+	regions, bound := snap.HomeRegions(route, tenant)
+	if bound && !slices.Contains(regions, g.cfg.Self.Region) {
+		w.Header()[outcome.HeaderHomeRegions] = slices.Clone(regions)
+		return nil, outcome.Refuse(http.StatusMisdirectedRequest, outcome.ReasonWrongRegion, "")
+	}
+	c := &call.Call{
+		Service:       route.Service,
+		Route:         route.Name,
+		Tenant:        tenant,
+		Method:        r.Method,
+		Path:          r.URL.RequestURI(),
+		Header:        r.Header.Clone(),
+		NonIdempotent: route.NonIdempotent,
+		HomeRegions:   regions,
+		ConfigVersion: snap.Version,
+	}
+	call.RemoveHopByHop(c.Header)
+	if r.Host != "" {
+		c.Header.Set("Host", r.Host)
+	}
+	if refusal := readContext(c, r.Header, route, now); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := checkClaimable(snap, c, bound); refusal != nil {
+		return nil, refusal
+	}
+	return c, nil
+}
+
+// readContext reads deadline, depth and attempt of a nested call.
+func readContext(c *call.Call, h http.Header, route *inventory.Route, now time.Time) *outcome.Error {
+	deadline, refusal := intHeader(h, outcome.HeaderDeadlineMs, route.DeadlineMs)
+	if refusal != nil {
+		return refusal
+	}
+	if deadline <= 0 {
+		return &outcome.Error{Kind: outcome.NotRun, Reason: outcome.ReasonDeadline, Status: http.StatusGatewayTimeout}
+	}
+	c.Deadline = now.Add(min(time.Duration(deadline)*time.Millisecond, maxDeadline))
+	depth, refusal := intHeader(h, outcome.HeaderDepth, 0)
+	if refusal != nil {
+		return refusal
+	}
+	c.Depth = depth + 1
+	if depth < 0 || c.Depth > maxDepth {
+		return outcome.Refuse(http.StatusLoopDetected, outcome.ReasonDepth, "")
+	}
+	c.Attempt, refusal = intHeader(h, outcome.HeaderAttempt, 0)
+	return refusal
+}
+
+func intHeader(h http.Header, name string, missing int) (int, *outcome.Error) {
+	text := h.Get(name)
+	if text == "" {
+		return missing, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 32)
+	if err != nil {
+		return 0, outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, name+" is not a whole number")
+	}
+	return int(n), nil
+}
+
+// checkClaimable refuses non-idempotent calls that could run twice, since
+// their key cannot be claimed.
+func checkClaimable(snap *inventory.Snapshot, c *call.Call, bound bool) *outcome.Error {
+	if !c.NonIdempotent {
+		return nil
+	}
+	if c.Header.Get(outcome.HeaderIdempotency) == "" {
+		return outcome.Refuse(http.StatusBadRequest, outcome.ReasonNoKey, "header Idempotency-Key is required")
+	}
+	if bound && !slices.Contains(c.HomeRegions, snap.StoreRegion()) {
+		return outcome.Busy(outcome.ReasonNoClaimStore, 0)
+	}
+	return nil
+}
+
+// readBody reads the whole body before anything is sent, so that a caller that
+// stops in the middle has run nothing.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call.Call) *outcome.Error {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.cfg.MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonBodyTooLarge,
+			"limit is "+strconv.FormatInt(g.cfg.MaxBody, 10)+" bytes")
+	}
+	if err != nil {
+		return outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, "request body ended early")
+	}
+	c.Body = body
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,174 @@
+// Package gateway is the receiver side of the request path: it takes the
+// requests of callers by HTTP, checks the rules, claims idempotency keys,
+// picks a pool, and returns the whole answer or a refusal.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"goldcresthinge.example/goldcresthinge/internal/call"
+	"goldcresthinge.example/goldcresthinge/internal/claim"
+	"goldcresthinge.example/goldcresthinge/internal/dispatch"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+	"goldcresthinge.example/goldcresthinge/internal/retry"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// Holder runs calls on the pools of this VM.
+type Holder interface {
+	Do(ctx context.Context, c *call.Call) (*call.Answer, error)
+	Free(service string) map[inventory.PoolID]int
+}
+
+// Forwarder hands a call to a sibling.
+type Forwarder interface {
+	Forward(ctx context.Context, to vm.Info, c *call.Call) (*call.Answer, error)
+}
+
+// Claims claims idempotency keys.
+type Claims interface {
+	Claim(ctx context.Context, key claim.Key) (*claim.Claim, error)
+}
+
+// Remote names the VMs of other regions that may act as receivers there.
+type Remote interface {
+	// Next returns a VM of another region in which service has targets, or
+	// false. regions limits the choice unless it is empty.
+	Next(service string, regions []string) (vm.Info, bool)
+	// Allow reports whether the byte budget of the link lets a call of about
+	// size bytes cross to region.
+	Allow(now time.Time, region string, size int) bool
+}
+
+// Config holds what a Gateway needs. All fields are required.
+type Config struct {
+	Self      vm.Info
+	Snapshot  func() *inventory.Snapshot
+	Holder    Holder
+	Forwarder Forwarder
+	Claims    Claims
+	Table     *dispatch.Table
+	Budget    *retry.Budget
+	Remote    Remote
+	// Ready reports whether new calls may be taken.
+	Ready func(now time.Time) bool
+	Clock quartz.Clock
+	Log   log.Logger
+	Scope tally.Scope
+	// MaxCalls bounds the calls of one service that this VM works on at once.
+	MaxCalls int
+	// MaxBody bounds the body of one request. Unit: bytes.
+	MaxBody int64
+	// MaxBufferedBytes bounds the bodies held at once. Unit: bytes.
+	MaxBufferedBytes int64
+}
+
+// Gateway is an http.Handler for callers. Its methods may be called from any
+// goroutine.
+type Gateway struct {
+	cfg     Config
+	log     log.Logger
+	limiter *limiter
+	metrics *metrics
+}
+
+// New returns a Gateway.
+func New(cfg Config) *Gateway {
+	return &Gateway{
+		cfg:     cfg,
+		log:     log.With(cfg.Log, "part", "gateway"),
+		limiter: newLimiter(cfg.MaxCalls, cfg.MaxBufferedBytes),
+		metrics: newMetrics(cfg.Scope),
+	}
+}
+
+// InFlight returns the number of calls that this VM works on as receiver.
+func (g *Gateway) InFlight() int { return g.limiter.inFlight() }
+
+func (g *Gateway) now() time.Time { return g.cfg.Clock.Now() }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := g.now()
+	c, refusal := g.accept(w, r, start)
+	if refusal != nil {
+		g.refuse(w, refusal, start)
+		return
+	}
+	reserved := r.ContentLength
+	if reserved < 0 || reserved > g.cfg.MaxBody {
+		reserved = g.cfg.MaxBody
+	}
+	if !g.limiter.enter(c.Service, reserved) {
+		g.refuse(w, outcome.Busy(outcome.ReasonQueueFull, time.Second), start)
+		return
+	}
+	defer g.limiter.leave(c.Service, reserved)
+	if refusal := g.readBody(w, r, c); refusal != nil {
+		g.refuse(w, refusal, start)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	if c.NonIdempotent {
+		g.serveOnce(ctx, w, c, start)
+		return
+	}
+	answer, err := g.Do(ctx, c)
+	if err != nil {
+		g.refuse(w, outcome.FromError(err), start)
+		return
+	}
+	g.reply(w, answer, start)
+}
+
+// HandleCrossRegion runs a call that a VM of another region handed to this one.
+func (g *Gateway) HandleCrossRegion(ctx context.Context, c *call.Call) (*call.Answer, error) {
+	if !g.cfg.Ready(g.now()) {
+		return nil, outcome.Busy(outcome.ReasonNotReady, time.Second)
+	}
+	return g.Do(ctx, c)
+}
+
+// serveOnce runs a non-idempotent call under a claim of its key.
+func (g *Gateway) serveOnce(ctx context.Context, w http.ResponseWriter, c *call.Call, start time.Time) {
+	key := claim.Key{Tenant: c.Tenant, Route: c.Route, Key: c.Header.Get(outcome.HeaderIdempotency)}
+	claimed, err := g.cfg.Claims.Claim(ctx, key)
+	if err != nil {
+		g.refuseDuplicate(w, err, start)
+		return
+	}
+	answer, err := g.Do(ctx, c)
+	// The claim is settled even if the caller has gone.
+	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	if err != nil {
+		refusal := outcome.FromError(err)
+		g.settleClaim(settle, claimed, refusal.Kind)
+		g.refuse(w, refusal, start)
+		return
+	}
+	if err := claimed.Done(settle, answer.Status); err != nil {
+		g.logClaim("claim not marked as done", err)
+	}
+	g.reply(w, answer, start)
+}
+
+func (g *Gateway) settleClaim(ctx context.Context, claimed *claim.Claim, kind outcome.Kind) {
+	var err error
+	if kind == outcome.NotRun {
+		err = claimed.NotRun(ctx)
+	} else {
+		err = claimed.Unknown(ctx)
+	}
+	if err != nil {
+		g.logClaim("claim not settled", err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/route.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/call"
+	"goldcresthinge.example/goldcresthinge/internal/dispatch"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+)
+
+const (
+	// maxPicks bounds the holders that are asked for one attempt. Only a
+	// refusal that says not run leads to another pick.
+	maxPicks = 3
+	// crossOverhead is what head and framing of a call add to its body on the
+	// regional link. Unit: bytes.
+	crossOverhead = 2048
+)
+
+// Do runs c, with retries under the retry budget. Only idempotent calls are
+// tried again after an unknown outcome. The error is an *outcome.Error.
+func (g *Gateway) Do(ctx context.Context, c *call.Call) (*call.Answer, error) {
+	g.cfg.Budget.First(c.Service)
+	for {
+		c.Attempt++
+		answer, refusal := g.attempt(ctx, c)
+		if refusal == nil {
+			return answer, nil
+		}
+		if !g.mayRetry(ctx, c, refusal) {
+			return nil, refusal
+		}
+	}
+}
+
+// mayRetry reports whether a call may be sent again after its target or holder
+// was lost.
+func (g *Gateway) mayRetry(ctx context.Context, c *call.Call, refusal *outcome.Error) bool {
+	if c.NonIdempotent || refusal.Kind != outcome.Unknown {
+		return false
+	}
+	if ctx.Err() != nil || refusal.Reason == outcome.ReasonDeadline {
+		return false
+	}
+	return g.cfg.Budget.Allow(c.Service)
+}
+
+// attempt asks holders until one takes the call. Refusals that say not run
+// reached no target, so another pick repeats nothing.
+func (g *Gateway) attempt(ctx context.Context, c *call.Call) (*call.Answer, *outcome.Error) {
+	var exclude []inventory.PoolID
+	refusal := outcome.Busy(outcome.ReasonNoHolder, time.Second)
+	for range maxPicks {
+		now := g.now()
+		cand, ok := g.cfg.Table.Pick(now, c.Service, g.ownFree(now, c.Service), exclude)
+		if !ok {
+			break
+		}
+		answer, err := g.ask(ctx, c, cand)
+		if err == nil {
+			return answer, nil
+		}
+		refusal = outcome.FromError(err)
+		if !mayPickAgain(ctx, refusal) {
+			return nil, refusal
+		}
+		if refusal.Reason == outcome.ReasonQueueFull {
+			g.cfg.Table.Observe(now, cand.Pool, 0, cand.Slots)
+		}
+		exclude = append(exclude, cand.Pool)
+	}
+	return g.cross(ctx, c, refusal)
+}
+
+// ownFree returns the free slots of the own pools and records their queues, so
+// that Pick can compare them with those of siblings.
+func (g *Gateway) ownFree(now time.Time, service string) map[inventory.PoolID]int {
+	own := g.cfg.Holder.Free(service)
+	for id, free := range own {
+		if free <= 0 {
+			g.cfg.Table.Observe(now, id, 0, -free)
+		}
+	}
+	return own
+}
+
+func (g *Gateway) ask(ctx context.Context, c *call.Call, cand dispatch.Candidate) (*call.Answer, error) {
+	try := *c
+	try.FailureDomain = cand.Pool.FailureDomain
+	if cand.Own {
+		return g.cfg.Holder.Do(ctx, &try)
+	}
+	g.cfg.Table.Sent(cand.Pool)
+	g.metrics.forwards.Inc(1)
+	return g.cfg.Forwarder.Forward(ctx, cand.VM, &try)
+}
+
+func mayPickAgain(ctx context.Context, refusal *outcome.Error) bool {
+	if refusal.Kind != outcome.NotRun || ctx.Err() != nil {
+		return false
+	}
+	return refusal.Reason != outcome.ReasonDeadline && refusal.Reason != outcome.ReasonCanceled
+}
+
+// cross hands a call that the own region cannot serve to another region, if
+// the route allows it and the budget of the link has bytes left.
+func (g *Gateway) cross(ctx context.Context, c *call.Call, refusal *outcome.Error) (*call.Answer, *outcome.Error) {
+	if len(c.HomeRegions) == 1 || c.Forwarded || c.CrossRegion || ctx.Err() != nil {
+		return nil, refusal
+	}
+	to, ok := g.cfg.Remote.Next(c.Service, c.HomeRegions)
+	if !ok {
+		return nil, refusal
+	}
+	if !g.cfg.Remote.Allow(g.now(), to.Region, len(c.Body)+crossOverhead) {
+		return nil, &outcome.Error{
+			Kind: outcome.NotRun, Reason: outcome.ReasonLinkBudget,
+			Status: http.StatusServiceUnavailable, RetryAfter: max(refusal.RetryAfter, time.Second),
+		}
+	}
+	try := *c
+	try.CrossRegion = true
+	g.metrics.crossings.Inc(1)
+	answer, err := g.cfg.Forwarder.Forward(ctx, to, &try)
+	if err != nil {
+		return nil, outcome.FromError(err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/holder/describe.go
@@ -0,0 +1,64 @@
+package holder
+
+import (
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/operator"
+	"goldcresthinge.example/goldcresthinge/internal/pool"
+	"goldcresthinge.example/goldcresthinge/internal/ramp"
+)
+
+// Loads returns the load news of all held pools.
+func (h *Holder) Loads() []*siblingpb.PoolLoad {
+	now := h.cfg.Clock.Now()
+	var out []*siblingpb.PoolLoad
+	for _, e := range h.all() {
+		out = append(out, e.load(now))
+	}
+	return out
+}
+
+// Describe returns the state of the targets of all held pools.
+func (h *Holder) Describe(now time.Time) []operator.Target {
+	var out []operator.Target
+	for _, e := range h.all() {
+		e.mu.Lock()
+		statuses := e.state.Describe(now)
+		slots := e.svc.Slots
+		e.mu.Unlock()
+		for i := range statuses {
+			t := describeTarget(&statuses[i])
+			t.Service, t.FailureDomain, t.Slots = e.id.Service, e.id.FailureDomain, slots
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func describeTarget(s *pool.TargetStatus) operator.Target {
+	t := operator.Target{
+		Name:       s.Name,
+		Address:    s.Address,
+		Limit:      s.Limit,
+		InFlight:   s.InFlight,
+		State:      "warm",
+		Rate:       s.Rate,
+		BaselineMs: ms(s.Baseline),
+		Failures:   s.Failures,
+		PausedMs:   ms(max(s.Paused, s.Ejected)),
+		Instance:   s.Instance,
+	}
+	switch {
+	case s.Leaving:
+		t.State = "leaving"
+	case s.Ejected > 0:
+		t.State = "ejected"
+	case s.Cause != ramp.Warm:
+		t.State = "cold"
+		t.Cause = s.Cause.String()
+	}
+	return t
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -35,8 +35,11 @@
 	waiters map[uint64]*waiter
 	nextID  uint64
 	closed  bool
-	latency time.Duration // smoothed time of a call at a target
-	timer   *quartz.Timer // wakes the queue when a rate limit ends
+	// exported is set while a handover is under way: no call gets a slot, and
+	// the end of a call is told to the successor.
+	exported bool
+	latency  time.Duration // smoothed time of a call at a target
+	timer    *quartz.Timer // wakes the queue when a rate limit ends
 }
 
 // waiter is a queued call. done receives exactly one value.
@@ -72,7 +75,7 @@
 		return pool.Grant{}, nil, outcome.Busy(outcome.ReasonLeaseLost, 0)
 	}
 	e.state.SetReduced(mode == lease.Reduced)
-	if e.queue.Len() == 0 {
+	if e.queue.Len() == 0 && !e.exported {
 		if grant, ok := e.state.Acquire(now); ok {
 			svc := e.svc
 			e.mu.Unlock()
@@ -144,7 +147,7 @@
 	for _, it := range e.queue.Expire(now, e.latency) {
 		e.finish(it.ID, wakeup{err: e.busy(outcome.ReasonDeadline)})
 	}
-	for e.queue.Len() > 0 {
+	for e.queue.Len() > 0 && !e.exported {
 		grant, ok := e.state.Acquire(now)
 		if !ok {
 			e.scheduleWake(now)
@@ -231,7 +234,7 @@
 		return nil, outcome.FromError(err)
 	}
 	result := answerResult(answer)
-	if refusal := refusalOf(answer, result); refusal != nil {
+	if refusal := refusalOf(result); refusal != nil {
 		_ = answer.Body.Close()
 		cancel()
 		e.release(grant, result, start)
@@ -251,7 +254,14 @@
 }
 
 func (e *held) release(grant pool.Grant, result pool.Result, start time.Time) {
+	exported := false
+	defer func() {
+		if exported {
+			e.holder.cfg.Ended(e.id, e.epoch, grant.Target.Name)
+		}
+	}()
 	e.with(func(now time.Time) {
+		exported = e.exported
 		result.Latency = now.Sub(start)
 		if result.Kind == outcome.Answered && !result.Failed {
 			e.latency = smooth(e.latency, result.Latency)
@@ -306,7 +316,7 @@
 
 // refusalOf returns the refusal of a target that says that it did not run the
 // request, or nil.
-func refusalOf(a *call.Answer, r pool.Result) *outcome.Error {
+func refusalOf(r pool.Result) *outcome.Error {
 	if r.Kind != outcome.NotRun {
 		return nil
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -51,8 +51,11 @@
 	Clock quartz.Clock
 	Log   log.Logger
 	Scope tally.Scope
-	// QueuePerSlot bounds the queue of a pool. Unit: calls per slot.
-	QueuePerSlot int
+	// QueueLimit bounds the queue of a pool. Unit: calls.
+	QueueLimit int
+	// Ended is told when a call ends that was in flight while its pool was
+	// handed over. It must not block.
+	Ended func(id inventory.PoolID, epoch uint64, target string)
 }
 
 // Holder owns the pools of this VM. Its methods may be called from any
@@ -89,7 +92,7 @@
 	st.SetMeasureBudget(now, h.measureBudget(snap, id))
 	entry := &held{
 		holder: h, id: id, epoch: epoch, state: st,
-		queue:   admission.New(max(1, h.cfg.QueuePerSlot*svc.Slots*len(targets))),
+		queue:   admission.New(h.cfg.QueueLimit),
 		waiters: map[uint64]*waiter{},
 		svc:     svc,
 	}
@@ -125,7 +128,8 @@
 	_ = level.Info(h.log).Log("msg", "pool dropped", "pool", id, "epoch", e.epoch)
 }
 
-// ExportPool returns the state of a pool for a planned handover, or nil.
+// ExportPool stops new sends of a pool and returns its state for a planned
+// handover, or nil. DropPool follows, or TakePool if the handover failed.
 func (h *Holder) ExportPool(id inventory.PoolID) *siblingpb.Handover {
 	e := h.get(id)
 	if e == nil {
@@ -133,6 +137,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.exported = true
 	out := handoverToProto(id, e.state.Export())
 	out.Epoch = e.epoch
 	out.FromVm = string(h.cfg.Self.ID)
@@ -191,7 +196,8 @@
 	}
 }
 
-// Free returns the free slots of the held pools of a service.
+// Free returns the free slots of the held pools of a service. A negative number
+// is the number of waiting calls.
 func (h *Holder) Free(service string) map[inventory.PoolID]int {
 	now := h.cfg.Clock.Now()
 	var free map[inventory.PoolID]int
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -91,7 +91,8 @@
 			Self: vm.Info{ID: "vm-1", Region: "r", FailureDomain: "a"}, Ownership: owner, Sender: send,
 			Snapshot: func() *inventory.Snapshot { return snap },
 			Ready:    func(time.Time) bool { return ready },
-			Clock:    clock, Log: log.NewNopLogger(), Scope: tally.NoopScope, QueuePerSlot: 10,
+			Clock:    clock, Log: log.NewNopLogger(), Scope: tally.NoopScope, QueueLimit: 10,
+			Ended: func(inventory.PoolID, uint64, string) {},
 		})
 		h.TakePool(poolA, 1, nil, false)
 		clock.Advance(time.Second) // the ramp of a cold target starts with a pause
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -31,6 +31,8 @@
 	ConnectTimeout time.Duration // default 1 s
 	ReadTimeout    time.Duration // whole read, default 2 s
 	WriteTimeout   time.Duration // whole write, default 3 s
+	// Dial opens connections. Default: a dialer with ConnectTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client reaches the platform's services. It implements platform.Table;
@@ -68,11 +70,14 @@
 	if o.WriteTimeout <= 0 {
 		o.WriteTimeout = 3 * time.Second
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext
+	}
 	return &Client{o: o, http: &http.Client{
 		Transport: &http.Transport{
 			// Environment proxies are not used: the platform is addressed by IP number.
 			Proxy:               nil,
-			DialContext:         (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext,
+			DialContext:         o.Dial,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     30 * time.Second,
 		},
--- a/internal/sibling/client.go
+++ b/internal/sibling/client.go
@@ -34,6 +34,7 @@
 type Client struct {
 	observe LoadObserver
 	count   ByteCounter
+	dial    Dialer
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -50,9 +51,15 @@
 	lastError time.Time
 }
 
-// NewClient returns a Client without connections.
-func NewClient(observe LoadObserver, count ByteCounter) *Client {
-	return &Client{observe: observe, count: count, sessions: map[string]*session{}}
+// Dialer opens a TCP connection.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a Client without connections. dial may be nil.
+func NewClient(observe LoadObserver, count ByteCounter, dial Dialer) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Client{observe: observe, count: count, dial: dial, sessions: map[string]*session{}}
 }
 
 // Close ends all sessions. Exchanges in progress fail.
@@ -146,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := s.connect(ctx, address, c.count)
+	mux, err := s.connect(ctx, address, c)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +179,7 @@
 	return s, nil
 }
 
-func (s *session) connect(ctx context.Context, address string, count ByteCounter) (*yamux.Session, error) {
+func (s *session) connect(ctx context.Context, address string, c *Client) (*yamux.Session, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.mux != nil && !s.mux.IsClosed() {
@@ -181,14 +188,15 @@
 	if time.Since(s.lastError) < redialPause {
 		return nil, fmt.Errorf("sibling %s was not reachable %v ago", address, time.Since(s.lastError).Round(time.Millisecond))
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		s.lastError = time.Now()
 		return nil, err
 	}
-	if count != nil {
-		conn = &countedConn{Conn: conn, address: address, count: count}
+	if c.count != nil {
+		conn = &countedConn{Conn: conn, address: address, count: c.count}
 	}
 	mux, err := yamux.Client(conn, newConfig())
 	if err != nil {
--- a/internal/sibling/forward_test.go
+++ b/internal/sibling/forward_test.go
@@ -63,7 +63,7 @@
 		server := sibling.NewServer(listener, holder, log.NewNopLogger())
 		go func() { _ = server.Serve() }()
 		seen = nil
-		client = sibling.NewClient(func(l *siblingpb.PoolLoad) { seen = append(seen, l) }, nil)
+		client = sibling.NewClient(func(l *siblingpb.PoolLoad) { seen = append(seen, l) }, nil, nil)
 		to = vm.Info{ID: "vm-2", SiblingAddress: listener.Addr().String()}
 		DeferCleanup(func() {
 			client.Close()
