Wait with sub-millisecond precision in relay and load tool

Cause: an idle Go program wakes for timers in steps of 1 ms, more than the added latency that is to be measured. Ruled out: spinning before each arrival, which takes a core at 600 calls/s. Change: package internal/standin/timing leaves the last 1.5 ms of a wait to nanosleep; used for arrivals and by the relay.

--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"goldcresthinge.example/goldcresthinge/internal/outcome"
+	"goldcresthinge.example/goldcresthinge/internal/standin/timing"
 )
 
 // Options are the settings of a run besides the scenario.
@@ -164,17 +165,4 @@
 }
 
 // sleepUntil returns false if ctx ends first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func sleepUntil(ctx context.Context, at time.Time) bool { return timing.WaitUntil(ctx.Done(), at) }
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -26,7 +26,7 @@
 type Scenario struct {
 	Name           string          `yaml:"name"`
 	Seed           uint64          `yaml:"seed"`
-	MaxCalls       int             `yaml:"max_calls"` // bound of the whole run
+	MaxCalls       int             `yaml:"max_calls"` // bound of the scheduled calls; resends come on top
 	Regions        []Region        `yaml:"regions"`
 	FailureDomains []FailureDomain `yaml:"failure_domains"`
 	Network        Network         `yaml:"network"`
--- a/internal/standin/netlink/relay.go
+++ b/internal/standin/netlink/relay.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/standin/timing"
 )
 
 // Sizes of the queue of bytes under way. They bound the memory of a
@@ -198,13 +200,4 @@
 }
 
 // wait waits until at. It returns false if the connection ends first.
-func (p *pair) wait(at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-p.done:
-		return false
-	}
-}
+func (p *pair) wait(at time.Time) bool { return timing.WaitUntil(p.done, at) }
--- /dev/null
+++ b/internal/standin/timing/timing_test.go
@@ -0,0 +1,24 @@
+package timing_test
+
+import (
+	"testing"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/standin/timing"
+)
+
+// Guards against a wait that ends early, which would make the network seem
+// faster than its delay, and against one that ignores its end.
+func TestWaitUntil(t *testing.T) {
+	for _, d := range []time.Duration{-time.Second, 0, 100 * time.Microsecond, 3 * time.Millisecond} {
+		at := time.Now().Add(d)
+		if !timing.WaitUntil(nil, at) || time.Now().Before(at) {
+			t.Errorf("wait of %v ended early", d)
+		}
+	}
+	done := make(chan struct{})
+	close(done)
+	if timing.WaitUntil(done, time.Now().Add(time.Hour)) {
+		t.Error("wait did not end with done")
+	}
+}
