--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -112,7 +112,9 @@
 	defer func() { _ = resp.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	r.Status = resp.StatusCode
-	r.Reason = resp.Header.Get(outcome.HeaderReason)
+	if r.Reason = resp.Header.Get(outcome.HeaderReason); r.Reason == "" {
+		r.Reason = "status-" + strconv.Itoa(resp.StatusCode)
+	}
 	if err != nil {
 		r.Kind, r.CutOff, r.Reason = outcome.Unknown, true, "cut-off"
 		return true
