Test settling after the head has moved on, seeds and the VM list

Cause: a trial with faults put into the code showed that two guards had no test that fails without them: the installation of a lower version after a pause, and a lost answer that is read back after a later change. Ruled out: relying on the check before the installation, since a VM can be paused in between. Change: tests for both, for a start by seeds and by the platform's list, and for targets in that list. Conclusion: each guard of the rollout has a test.

--- a/internal/rollout/fakes_test.go
+++ b/internal/rollout/fakes_test.go
@@ -41,6 +41,7 @@
 	lateCommits int
 	late        [][]platform.Op
 	beforePut   func() // runs once, before the next Put
+	beforeGet   func() // runs once, before the next Get of the table
 }
 
 func newStore() *store {
@@ -48,6 +49,10 @@
 }
 
 func (s *store) Get(_ context.Context, key string) (platform.Row, error) {
+	if hook := s.beforeGet; hook != nil {
+		s.beforeGet = nil
+		hook()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -158,6 +163,7 @@
 	info   vm.Info
 	net    *network
 	cut    bool // no exchange reaches it
+	blind  bool // knows no sibling yet
 	pulls  []uint64
 	pushes int
 }
@@ -166,11 +172,21 @@
 	return &network{vms: map[string]*node{}, clock: quartz.NewMock(t), store: newStore()}
 }
 
-func (n *network) add(id, region string, seeds ...string) *node {
-	v := &node{net: n, info: vm.Info{ID: vm.ID(id), Region: region, FailureDomain: region + "-a", SiblingAddress: id + ":1"}}
+func (n *network) add(id, region string) *node {
+	return n.start(id, region, nil, nil)
+}
+
+// list is the platform's list of VMs.
+type list []platform.VMEntry
+
+func (l list) List(context.Context) ([]platform.VMEntry, error) { return l, nil }
+
+// start adds a VM. With seeds or a list it knows no sibling by itself.
+func (n *network) start(id, region string, seeds []string, vms list) *node {
+	v := &node{blind: seeds != nil || vms != nil, net: n, info: vm.Info{ID: vm.ID(id), Region: region, FailureDomain: region + "-a", SiblingAddress: id + ":1"}}
 	changes := 0
 	v.Store = rollout.New(rollout.Config{
-		Self: v.info, Table: n.store, Objects: objectStore{n.store}, Peers: v, Seeds: seeds, Clock: n.clock,
+		Self: v.info, Table: n.store, Objects: objectStore{n.store}, Peers: v, Seeds: seeds, VMs: vms, Clock: n.clock,
 		Jitter: func() float64 { return 0.5 },
 		Nonce:  func() string { changes++; return fmt.Sprintf("%s-%d", id, changes) },
 	})
@@ -183,7 +199,7 @@
 	defer v.net.mu.Unlock()
 	var list []vm.Info
 	for _, other := range v.net.vms {
-		if other != v {
+		if other != v && !v.blind {
 			list = append(list, other.info)
 		}
 	}
--- a/internal/rollout/progress_test.go
+++ b/internal/rollout/progress_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
 	"goldcresthinge.example/goldcresthinge/internal/vm"
 )
 
@@ -69,6 +70,18 @@
 	Expect(ok).To(BeFalse(), "a sibling has a higher version")
 }
 
+// Guards against a VM that is paused between the decision to install a version
+// and the installation.
+func TestInstallRefusesLowerVersion(t *testing.T) {
+	RegisterTestingT(t)
+	s := New(Config{})
+	for _, number := range []uint64{3, 2, 3} {
+		s.install(newVersion(number, &inventory.Document{}, nil, ""), nil)
+		Expect(s.Current().Version).To(BeEquivalentTo(3))
+		Expect(s.HandlePull(versionOnly).CurrentVersion).To(BeEquivalentTo(3))
+	}
+}
+
 func TestSettle(t *testing.T) {
 	base := headRow{Version: 4, Nonce: "x", Row: 10}
 	mine := headRow{Version: 5, Nonce: "mine"}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -53,6 +53,34 @@
 		Expect(a.Apply(ctx, 1, example("pecs-a"))).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a wrong answer to an operator whose change was followed by
+	// another one before the head could be read back.
+	DescribeTable("settles a lost answer when the head has moved on",
+		func(lost, dropped int, changes int, accepted bool) {
+			net.store.beforePut = func() {
+				net.store.loseAnswers, net.store.dropCommits = lost, dropped
+				net.store.beforeGet = func() {
+					for range changes {
+						Expect(b.Refresh(ctx)).To(Succeed())
+						_, err := b.Apply(ctx, b.version(), example([]string{"gyor-a", "szeged-a", "debrecen-a"}[:b.version()]...))
+						Expect(err).NotTo(HaveOccurred())
+					}
+				}
+			}
+			version, err := a.Apply(ctx, 1, example("pecs-a"))
+			if accepted {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(version).To(BeEquivalentTo(2))
+			} else {
+				Expect(err).To(MatchError(ContainSubstring("the current version is 3")))
+			}
+			Expect(a.Refresh(ctx)).To(Succeed())
+			Expect(a.version()).To(BeEquivalentTo(3))
+		},
+		Entry("own change first", 1, 0, 1, true),
+		Entry("own change never", 0, 1, 2, false),
+	)
+
 	It("accepts nothing while the store is down", func() {
 		net.store.down = true
 		_, err := a.Apply(ctx, 1, example("pecs-a"))
--- a/internal/rollout/spread_test.go
+++ b/internal/rollout/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -139,6 +140,29 @@
 		Expect(c.version()).To(BeEquivalentTo(3))
 	})
 
+	DescribeTable("that knows no sibling yet asks the VMs of its settings and of the platform's list",
+		func(seeds []string, vms list) {
+			net.store.down = true
+			c := net.start("c", "alfold", seeds, vms)
+			Expect(c.Refresh(ctx)).NotTo(Succeed())
+			Expect(c.version()).To(BeEquivalentTo(2))
+		},
+		Entry("settings", []string{"z:1", "a:1"}, nil),
+		Entry("list", nil, list{{Name: "c", Address: "c:9"}, {Name: "z", Address: "z:1"}, {Name: "a", Address: "a:1"}}),
+	)
+
+	// Guards against control messages to the backend servers, which the
+	// platform's list may also hold.
+	It("does not report targets of the platform's list as VMs", func() {
+		c := net.start("c", "alfold", nil, list{{Name: "b", Address: "b:1"}, {Name: "ny", Address: "127.0.0.1:7001"}, {Name: "z", Address: "z:1", Leaving: true}})
+		Expect(c.Refresh(ctx)).To(Succeed())
+		var found []string
+		for _, r := range c.Report(ctx, 2) {
+			found = append(found, fmt.Sprint(r.VM.ID, " ", r.State, " ", r.Leaving))
+		}
+		Expect(found).To(ConsistOf("b not-confirmed false", "c in-force false", "z not-heard true"))
+	})
+
 	It("has no version and is not confirmed without store and siblings", func() {
 		net.store.down = true
 		c := net.add("c", "alfold")
