--- a/internal/lease/clear.go
+++ b/internal/lease/clear.go
@@ -104,8 +104,7 @@
 
 // beginPools starts to serve pools whose row names this VM.
 func (c *core) beginPools(now time.Time) {
-	snap := c.snapshot()
-	if c.own.incarnation == 0 || c.releasing || snap == nil {
+	if c.own.incarnation == 0 || c.releasing || c.snap == nil {
 		return
 	}
 	for _, domain := range sortedKeys(c.domains) {
@@ -114,7 +113,7 @@
 			a := row.pools[service]
 			id := inventory.PoolID{Service: service, FailureDomain: domain}
 			_, has := c.held[id]
-			if a.Incarnation != c.own.incarnation || has || len(snap.Targets(id)) == 0 || c.exporting(id) {
+			if a.Incarnation != c.own.incarnation || has || len(c.snap.Targets(id)) == 0 || c.exporting(id) {
 				continue
 			}
 			c.beginPool(now, id, a)
@@ -134,6 +133,7 @@
 	} else {
 		begin, lift := c.priorState(now, a)
 		if !begin {
+			c.settled = false
 			return
 		}
 		state, h.halfCap = nil, !lift
@@ -148,13 +148,19 @@
 	for _, id := range c.heldIDs() {
 		h := c.held[id]
 		a := c.domains[id.FailureDomain].pools[id.Service]
-		if !h.halfCap || a == nil || now.Before(h.warmAt) {
+		if !h.halfCap || a == nil {
+			continue
+		}
+		if now.Before(h.warmAt) {
+			c.settled = false
 			continue
 		}
 		if _, lift := c.priorState(now, a); lift {
 			h.halfCap = false
 			c.held[id] = h
 			c.emit(action{kind: actLift, pool: id})
+		} else {
+			c.settled = false
 		}
 	}
 }
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -65,16 +65,19 @@
 	rnd      *rand.Rand
 	newInc   func() uint64
 	snapshot func() *inventory.Snapshot
+	snap     *inventory.Snapshot           // as of the last tick
+	pools    map[string][]inventory.PoolID // of the region in snap, by failure domain
 	out      []action
 
 	own   ownLease
 	table tableLane
 	store storeState
 
-	vms     map[vm.ID]leaseRow // own region, as last read
-	far     map[vm.ID]leaseRow // other regions
-	domains map[string]domainRow
-	digest  uint64
+	vms      map[vm.ID]leaseRow // own region, as last read
+	siblings []leaseRow         // result of activeSiblings, nil after a change
+	far      map[vm.ID]leaseRow // other regions
+	domains  map[string]domainRow
+	digest   uint64
 
 	seen      map[vm.ID]seen       // renewal counters
 	firstSeen map[uint64]time.Time // incarnations
@@ -94,6 +97,7 @@
 	started      time.Time
 	lastExchange time.Time
 	graceUntil   time.Time
+	isolated     bool // no exchange with a sibling for isolatedAfter
 
 	held      map[inventory.PoolID]holding
 	stash     map[inventory.PoolID]*siblingpb.Handover
@@ -102,6 +106,7 @@
 	releasing bool // all pools are dropped; none is served again
 	done      bool
 	win       *window
+	settled   bool   // every pool that names this VM is served without a half cap
 	gen       uint64 // changes when the published view may have changed
 }
 
@@ -135,13 +140,15 @@
 
 // tick advances everything that depends on time alone.
 func (c *core) tick(now time.Time) {
-	if now.Sub(c.lastExchange) > isolatedAfter {
-		// The grace runs from the end of the isolation; extending it at each
-		// tick gives the same result.
+	isolated := now.Sub(c.lastExchange) > isolatedAfter && len(c.activeSiblings()) > 0
+	if isolated && !c.isolated {
 		c.graceUntil = now.Add(graceAge)
-		if len(c.activeSiblings()) == 0 {
-			c.graceUntil = c.started.Add(graceAge)
-		}
+	}
+	c.isolated = isolated
+	if snap := c.snapshot(); snap != c.snap {
+		c.snap, c.pools, c.settled = snap, regionPools(snap, c.self.Region), false
+		c.dropForeign()
+		c.table.next = now
 	}
 	c.tickOwn(now)
 	c.tickTable(now)
@@ -151,8 +158,11 @@
 // settle brings the pools served and the published window in line with the
 // state. It runs at the end of each event.
 func (c *core) settle(now time.Time) {
-	c.beginPools(now)
-	c.liftPools(now)
+	if !c.settled {
+		c.settled = true
+		c.beginPools(now)
+		c.liftPools(now)
+	}
 	c.win = c.computeWindow()
 }
 
@@ -232,9 +242,13 @@
 	return ids
 }
 
-// activeSiblings returns the other VMs of the region with an active lease row.
+// activeSiblings returns the other VMs of the region with an active lease row,
+// by ID.
 func (c *core) activeSiblings() []leaseRow {
-	var out []leaseRow
+	if c.siblings != nil {
+		return c.siblings
+	}
+	out := []leaseRow{}
 	for id, r := range c.vms {
 		if id != c.self.ID && r.State == active {
 			out = append(out, r)
@@ -246,6 +260,7 @@
 		}
 		return 1
 	})
+	c.siblings = out
 	return out
 }
 
--- a/internal/lease/handover.go
+++ b/internal/lease/handover.go
@@ -45,9 +45,10 @@
 // planHandover hands over one pool that hashing names another VM for, at most
 // one per second, or without a pause in a planned stop.
 func (c *core) planHandover(now time.Time) {
-	if now.Before(c.table.nextHand) && !c.leaving {
+	if now.Before(c.table.nextHand) {
 		return
 	}
+	c.table.nextHand = now.Add(handoverEvery)
 	vms := c.successors(now)
 	if !c.leaving {
 		self := false
@@ -64,10 +65,6 @@
 		if !ok || best.ID == c.self.ID || (h.halfCap && !c.leaving) {
 			continue
 		}
-		if now.Before(c.table.nextHand) {
-			return
-		}
-		c.table.nextHand = now.Add(handoverEvery)
 		c.table.hand = &handover{pool: id, to: best, epoch: h.epoch + 1, sending: true}
 		delete(c.held, id)
 		c.emit(action{kind: actSend, pool: id, to: best, epoch: h.epoch + 1})
@@ -159,6 +156,7 @@
 	}
 	_, lift := c.priorState(now, a)
 	c.held[h.pool] = holding{epoch: h.epoch - 1, halfCap: !lift}
+	c.settled = false
 	c.emit(action{kind: actTake, pool: h.pool, epoch: h.epoch - 1, state: h.state, halfCap: !lift})
 }
 
@@ -187,26 +185,28 @@
 	if !c.leaving {
 		c.leaving = true
 		c.own.next = now
-		c.table.next = now
+		c.table.next, c.table.nextHand = now, now
 		c.emit(action{kind: actBeat})
 	}
 	c.finishing = c.finishing || finish
 	c.tick(now)
 }
 
-// mayFinish reports whether the lease can be released now. Pools without a
-// successor are dropped first.
+// mayFinish reports whether the lease can be released now: no pool is left, or
+// none of them has a successor.
 func (c *core) mayFinish(now time.Time) bool {
 	if !c.finishing || c.table.hand != nil || c.table.inFlight || !c.table.scanned {
 		return false
 	}
-	if len(c.held) > 0 && len(c.successors(now)) > 0 {
-		return false
-	}
+	// Without a valid lease it is not known who lives, and the pools stay.
+	return len(c.held) == 0 || (c.mayWrite(now) && len(c.successors(now)) == 0)
+}
+
+// stopPools drops what is left before the lease is released.
+func (c *core) stopPools() {
 	c.releasing = true
 	c.win = &window{}
 	for _, id := range c.heldIDs() {
 		c.drop(id)
 	}
-	return true
 }
--- a/internal/lease/heartbeat.go
+++ b/internal/lease/heartbeat.go
@@ -50,8 +50,12 @@
 		c.contact[hb.Incarnation] = wrote
 		if !hb.StoreReachable {
 			c.statement[hb.Incarnation] = wrote
-		} else {
+		} else if _, was := c.statement[hb.Incarnation]; was {
 			delete(c.statement, hb.Incarnation)
+			// The store is back for others. The jitter spreads the first renewals.
+			if soon := now.Add(c.jitter(RenewEvery / 5)); soon.Before(c.own.next) {
+				c.own.next = soon
+			}
 		}
 	}
 	c.settle(now)
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -233,8 +233,8 @@
 // sorted by ID. The caller must not change the slice.
 func (k *Keeper) Members() []vm.Info { return k.view.Load().members }
 
-// Siblings returns all other registered VMs that are known, of all regions,
-// sorted by ID. The caller must not change the slice.
+// Siblings returns all other VMs with a lease row that is not released, of all
+// regions, sorted by ID. The caller must not change the slice.
 func (k *Keeper) Siblings() []vm.Info { return k.view.Load().siblings }
 
 // Alive reports whether the lease of an incarnation may still run. It returns
--- a/internal/lease/own.go
+++ b/internal/lease/own.go
@@ -65,7 +65,8 @@
 
 func (c *core) tickOwn(now time.Time) {
 	o := &c.own
-	if o.inFlight || c.done || now.Before(o.next) {
+	finish := o.incarnation != 0 && c.mayFinish(now)
+	if o.inFlight || c.done || (now.Before(o.next) && (!finish || c.releasing)) {
 		return
 	}
 	key := vmKey(c.self.Region, c.self.ID)
@@ -88,7 +89,8 @@
 		row.Incarnation = c.newInc()
 		row.Counter = 1
 		o.version = c.vms[c.self.ID].version
-	case c.mayFinish(now):
+	case finish:
+		c.stopPools()
 		row.Incarnation = o.incarnation
 		row.State = released
 	default:
@@ -161,7 +163,7 @@
 		o.next = now
 	}
 	c.self.Incarnation = o.incarnation
-	c.vms[c.self.ID] = leaseRow{LeaseRow: t.row, key: vmKey(c.self.Region, c.self.ID), region: c.self.Region, version: version}
+	c.setRow(c.self.ID, leaseRow{LeaseRow: t.row, key: vmKey(c.self.Region, c.self.ID), region: c.self.Region, version: version})
 	c.owners[o.incarnation] = c.self.ID
 	if t.row.State == released {
 		c.finish()
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -14,13 +14,16 @@
 
 // plan starts at most one transaction from the view as last read.
 func (c *core) plan(now time.Time) {
-	if c.table.inFlight || c.own.incarnation == 0 || c.done || elapsedValid(c.own.renewed, now) >= TTL-safetyMargin {
+	if c.table.inFlight || c.done {
 		return
 	}
 	if c.table.hand != nil {
 		c.handoverSettled(now)
 		return
 	}
+	if !c.mayWrite(now) {
+		return
+	}
 	if !c.leaving && !now.Before(c.graceUntil) && c.planTakeover(now) {
 		return
 	}
@@ -30,22 +33,27 @@
 	c.planHandover(now)
 }
 
+// mayWrite reports whether the lease is valid, which a change of assignments
+// needs.
+func (c *core) mayWrite(now time.Time) bool {
+	return c.own.incarnation != 0 && elapsedValid(c.own.renewed, now) < TTL-safetyMargin
+}
+
 func (c *core) commit(now time.Time, ops []platform.Op) {
 	c.table.inFlight = true
 	c.markPending(now)
 	c.emit(action{kind: actCommit, ops: ops})
 }
 
-// regionPools returns the pools of the own region by failure domain.
-func (c *core) regionPools() map[string][]inventory.PoolID {
-	snap := c.snapshot()
+// regionPools returns the pools of a region by failure domain.
+func regionPools(snap *inventory.Snapshot, region string) map[string][]inventory.PoolID {
 	out := map[string][]inventory.PoolID{}
 	if snap == nil {
 		return out
 	}
 	for i := range snap.Document.Services {
 		for _, id := range snap.Pools(snap.Document.Services[i].Name) {
-			if snap.RegionOf(id.FailureDomain) == c.self.Region {
+			if snap.RegionOf(id.FailureDomain) == region {
 				out[id.FailureDomain] = append(out[id.FailureDomain], id)
 			}
 		}
@@ -101,12 +109,11 @@
 // leases of their expired holders.
 func (c *core) planTakeover(now time.Time) bool {
 	vms := c.takeoverCandidates(now)
-	pools := c.regionPools()
-	for _, domain := range sortedKeys(pools) {
+	for _, domain := range sortedKeys(c.pools) {
 		row := c.domains[domain]
 		changed := map[string]*siblingpb.Assignment{}
 		revoke := map[vm.ID]bool{}
-		for _, id := range pools[domain] {
+		for _, id := range c.pools[domain] {
 			a := row.pools[id.Service]
 			free, dead := c.takeable(now, a)
 			if best, ok := preferred(vms, id); !free || !ok || best.ID != c.self.ID {
--- a/internal/lease/property_test.go
+++ b/internal/lease/property_test.go
@@ -44,16 +44,8 @@
 			s.setCut(id, other, true)
 			s.after(ms("for", 500, 20000), func() { s.setCut(id, other, false) })
 		case "isolate":
-			s.say("-- isolate %s", id)
-			for _, other := range ids {
-				s.setCut(id, other, true)
-			}
-			s.after(ms("for", 500, 20000), func() {
-				s.say("-- join %s", id)
-				for _, other := range ids {
-					s.setCut(id, other, false)
-				}
-			})
+			s.isolate(id, ids, true)
+			s.after(ms("for", 500, 20000), func() { s.isolate(id, ids, false) })
 		case "pause":
 			if v.up {
 				s.pause(id, ms("for", 100, 12000))
@@ -69,8 +61,7 @@
 			})
 		case "leave":
 			if v.up {
-				s.say("-- leave %s", id)
-				s.on(v, v.life, func() { v.startLeave(s.now, true) })
+				s.leave(id)
 			}
 		case "new":
 			id := vm.ID(fmt.Sprintf("a9%d", i))
@@ -89,7 +80,7 @@
 	s.setStore(storeOK, ids...)
 	for _, id := range ids {
 		v := s.vms[id]
-		if !v.up || v.done {
+		if !v.up || v.leaving {
 			s.start(id, v.info.FailureDomain)
 		}
 	}
--- a/internal/lease/sim_test.go
+++ b/internal/lease/sim_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"container/heap"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -47,7 +46,7 @@
 
 	reads, writes, beatBytes, readBytes, beats int
 	broken                                     string // first violation of the limits
-	servedAt                                   func(now time.Time)
+	onEvent                                    func() // called after each event
 }
 
 type simVM struct {
@@ -62,7 +61,6 @@
 	pending []func() // events that wait for the end of a pause
 	mode    Mode
 	seed    uint64
-	out     map[inventory.PoolID]bool // exported and stopped
 }
 
 type event struct {
@@ -136,7 +134,6 @@
 	v.info = vm.Info{ID: id, Region: "r", FailureDomain: domain, SiblingAddress: string(id)}
 	v.life++
 	v.up, v.paused, v.pending, v.mode = true, time.Time{}, nil, Lost
-	v.out = map[inventory.PoolID]bool{}
 	v.core = newCore(v.info, s.now, v.seed+uint64(v.life)*100, func() uint64 { s.inc++; return s.inc }, func() *inventory.Snapshot { return s.snap })
 	v.nextHB = s.now
 	s.say("-- start %s in %s", id, domain)
@@ -214,7 +211,6 @@
 	pool := a.pool.String()
 	switch a.kind {
 	case actTake:
-		delete(v.out, a.pool)
 		suffix := ""
 		if a.halfCap {
 			suffix = " half cap"
@@ -258,13 +254,13 @@
 // beat sends heartbeats to all siblings known from lease rows.
 func (s *sim) beat(v *simVM, life int) {
 	v.nextHB = s.now.Add(time.Second)
-	for _, r := range v.activeSiblings() {
+	for _, sibling := range v.buildView().siblings {
 		hb := &siblingpb.Heartbeat{}
 		v.fill(s.now, hb)
 		wrote, sentAs := s.now, hb.Incarnation
 		s.beats++
 		s.beatBytes += proto.Size(hb)
-		s.call(v, life, vm.ID(r.VmId), func(w *simVM) any {
+		s.call(v, life, sibling.ID, func(w *simVM) any {
 			answer := &siblingpb.Heartbeat{}
 			w.answer(s.now, hb, answer)
 			s.beatBytes += proto.Size(answer)
@@ -310,49 +306,55 @@
 
 // check compares the limits that all VMs grant themselves with the slots.
 func (s *sim) check() {
-	if s.servedAt != nil {
-		s.servedAt(s.now)
+	if s.onEvent != nil {
+		s.onEvent()
 	}
 	if s.broken != "" {
 		return
 	}
-	type grant struct {
-		sum, ramps int
-		who        []string
-	}
-	grants := map[inventory.PoolID]*grant{}
-	for _, id := range sortedIDs(s.vms) {
-		v := s.vms[id]
-		mode := Lost
-		if v.up {
-			mode = v.win.mode(s.now)
+	sum, ramps := map[inventory.PoolID]int{}, map[inventory.PoolID]int{}
+	for _, v := range s.vms {
+		for pool := range v.held {
+			limit, ramp := v.grant(s.now, pool, s.slots)
+			sum[pool] += limit
+			if ramp {
+				ramps[pool]++
+			}
 		}
-		if mode == Lost {
+	}
+	for pool := range sum {
+		if sum[pool] <= s.slots && ramps[pool] <= 1 {
 			continue
 		}
-		for pool, h := range v.held {
-			g := grants[pool]
-			if g == nil {
-				g = &grant{}
-				grants[pool] = g
-			}
-			limit := s.slots / 2
-			if mode != Reduced {
-				g.ramps++
-				if limit = s.slots; h.halfCap {
-					limit = (s.slots + 1) / 2
-				}
+		var who []string
+		for _, id := range sortedIDs(s.vms) {
+			if limit, _ := s.vms[id].grant(s.now, pool, s.slots); limit > 0 {
+				v := s.vms[id]
+				who = append(who, fmt.Sprintf("%s grants %d in mode %v at epoch %d", id, limit, v.win.mode(s.now), v.held[pool].epoch))
 			}
-			g.sum += limit
-			g.who = append(g.who, fmt.Sprintf("%s grants %d in mode %v at epoch %d", id, limit, mode, h.epoch))
 		}
+		s.broken = fmt.Sprintf("%v: %s", pool, strings.Join(who, ", "))
+		s.say("!! %s", s.broken)
+		return
 	}
-	for pool, g := range grants {
-		if g.sum > s.slots || g.ramps > 1 {
-			slices.Sort(g.who)
-			s.broken = fmt.Sprintf("%v: %s", pool, strings.Join(g.who, ", "))
-			s.say("!! %s", s.broken)
-			return
+}
+
+// grant returns the limit per target that v grants itself for a pool, and
+// whether it may ramp the targets. A paused VM counts, because it checks only
+// the mode when it resumes.
+func (v *simVM) grant(now time.Time, pool inventory.PoolID, slots int) (limit int, ramp bool) {
+	h, ok := v.held[pool]
+	if !v.up || !ok {
+		return 0, false
+	}
+	switch v.win.mode(now) {
+	case Valid, Full:
+		if h.halfCap {
+			return (slots + 1) / 2, true
 		}
+		return slots, true
+	case Reduced:
+		return slots / 2, false
 	}
+	return 0, false
 }
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -49,6 +49,8 @@
 		t.inFlight = true
 		c.markPending(now)
 		c.emit(action{kind: actScanAll})
+	case t.hand == nil && len(c.held) > 0 && c.mayWrite(now):
+		c.planHandover(now)
 	}
 }
 
@@ -64,20 +66,7 @@
 			return true
 		}
 	}
-	return c.own.incarnation != 0 && !c.store.down && len(c.held) < c.assigned()
-}
-
-// assigned counts the entries that name the own incarnation.
-func (c *core) assigned() int {
-	n := 0
-	for _, d := range c.domains {
-		for _, a := range d.pools {
-			if a.Incarnation == c.own.incarnation {
-				n++
-			}
-		}
-	}
-	return n
+	return false
 }
 
 // evidenceDue reports whether a lease has ended since the last scan, so that a
@@ -113,9 +102,8 @@
 }
 
 func (c *core) adoptLease(now time.Time, id vm.ID, r leaseRow, exists bool) {
-	c.gen++
 	if !exists {
-		delete(c.vms, id)
+		c.deleteRow(id)
 		return
 	}
 	if old, had := c.vms[id]; had && old.Incarnation != r.Incarnation {
@@ -124,13 +112,24 @@
 	if r.State == released {
 		c.dropped[r.Incarnation] = true
 	}
-	c.vms[id] = r
+	c.setRow(id, r)
 	c.observe(now, id, r.Incarnation, r.Counter)
 	if r.State == revoked {
 		c.note(now, r.Incarnation)
 	}
 }
 
+func (c *core) setRow(id vm.ID, r leaseRow) {
+	c.gen++
+	c.vms[id], c.siblings = r, nil
+}
+
+func (c *core) deleteRow(id vm.ID) {
+	c.gen++
+	c.siblings = nil
+	delete(c.vms, id)
+}
+
 func (c *core) scanDone(now time.Time, res scanResult, err error) {
 	t := &c.table
 	t.inFlight = false
@@ -167,7 +166,7 @@
 	}
 	for id := range c.vms {
 		if !present[id] && (id != c.self.ID || c.own.incarnation == 0) {
-			delete(c.vms, id)
+			c.deleteRow(id)
 		}
 	}
 	c.setDomains(domains)
@@ -180,6 +179,7 @@
 func (c *core) setDomains(domains map[string]domainRow) {
 	before := c.digest
 	c.gen++
+	c.settled = false
 	c.domains = domains
 	c.digest = digest(domains)
 	c.dropForeign()
@@ -191,10 +191,9 @@
 // dropForeign ends the service of pools whose row names another holder and of
 // pools that the configuration no longer has.
 func (c *core) dropForeign() {
-	snap := c.snapshot()
 	for _, id := range c.heldIDs() {
 		a := c.domains[id.FailureDomain].pools[id.Service]
-		if a != nil && a.Incarnation == c.own.incarnation && snap != nil && len(snap.Targets(id)) > 0 {
+		if a != nil && a.Incarnation == c.own.incarnation && c.snap != nil && len(c.snap.Targets(id)) > 0 {
 			continue
 		}
 		c.drop(id)
@@ -202,6 +201,7 @@
 }
 
 func (c *core) drop(id inventory.PoolID) {
+	c.settled = false
 	h := c.held[id]
 	delete(c.held, id)
 	c.emit(action{kind: actDrop, pool: id, epoch: h.epoch})
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -12,7 +12,7 @@
 // view is what other packages may read without a lock. It is immutable.
 type view struct {
 	members  []vm.Info // registered VMs of the region, this one included
-	siblings []vm.Info // all other VMs known from lease rows
+	siblings []vm.Info // other VMs with a lease row that is not released
 	holders  map[inventory.PoolID]vm.Info
 	held     map[inventory.PoolID]uint64
 	counters map[vm.ID]seen
@@ -24,6 +24,10 @@
 		counters: map[vm.ID]seen{},
 	}
 	for id, r := range c.vms {
+		if r.State == revoked && id != c.self.ID {
+			// It may still run, and heartbeats tell it that its lease is lost.
+			v.siblings = append(v.siblings, r.info())
+		}
 		if r.State != active {
 			continue
 		}
