load: take the start of a return as its earliest time

The log shows that the return was in force at the holder 350 ms before the operator's request had been answered, since the answer waits for the report of all VMs. Ruled out: a late run by the holder; the run began after version 3 was in force there. Change: a take-out counts from its acceptance, a return from the start of its request. Conclusion: a fault of the tool, not of the daemon.

--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -44,7 +44,7 @@
 type change struct {
 	domain string
 	out    bool
-	at     time.Time // when the change was accepted
+	at     time.Time // latest acceptance of a take-out, earliest of a return
 }
 
 // Run starts the scenario's system, sends its calls and returns what was
@@ -140,12 +140,18 @@
 		if r.system.platform == nil {
 			return nil // without entry VMs nobody reads the configuration
 		}
+		started := time.Now()
 		if err := r.system.setOut(ctx, e.FailureDomain, e.Action == ActionTakeOut); err != nil {
 			return err
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.changes = append(r.changes, change{e.FailureDomain, e.Action == ActionTakeOut, time.Now()})
+		// A return is in force at some VMs before the change has been reported.
+		at := started
+		if e.Action == ActionTakeOut {
+			at = time.Now()
+		}
+		r.changes = append(r.changes, change{e.FailureDomain, e.Action == ActionTakeOut, at})
 	case ActionFaults:
 		r.system.applyFaults(e)
 	case ActionCut:
