--- /dev/null
+++ b/internal/daemon/path_bench_test.go
@@ -0,0 +1,177 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"goldcresthinge.example/goldcresthinge/internal/daemon"
+	"goldcresthinge.example/goldcresthinge/internal/platform/standin"
+	"goldcresthinge.example/goldcresthinge/internal/settings"
+)
+
+const benchDocument = `
+regions: [{name: ost, store: true}]
+failure_domains: [{name: ost-graz, region: ost}]
+services:
+  - name: kreisplan
+    slots: 64
+    cold_rate: 100000
+    targets: [{name: kp-01, address: %q, failure_domain: ost-graz}]
+rules:
+  routes: [{name: plan, path_prefix: /plan, service: kreisplan}]
+`
+
+// startPair starts two entry VMs with one pool and returns the caller
+// addresses of its holder and of the other VM.
+func startPair(b *testing.B, target string) (own, other string) {
+	b.Helper()
+	ctx := context.Background()
+	platform, err := standin.Listen(ctx, "127.0.0.1:0", 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = platform.Stop(ctx) })
+	var vms []*daemon.Daemon
+	for i := range 2 {
+		s, err := settings.Parse([]string{
+			"--id", fmt.Sprintf("vm-%d", i), "--region", "ost", "--failure-domain", "ost-graz",
+			"--caller-listen", freeAddress(b), "--operator-listen", freeAddress(b), "--sibling-listen", freeAddress(b),
+			"--platform", "http://" + platform.Address(), "--drain-lead", "1ms",
+		}, io.Discard)
+		if err != nil {
+			b.Fatal(err)
+		}
+		d, err := daemon.Start(ctx, s, daemon.WithLog(io.Discard))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { _ = d.Stop(ctx) })
+		vms = append(vms, d)
+	}
+	put, _ := http.NewRequest(http.MethodPut, "http://"+vms[0].OperatorAddress()+"/v1/config?base=0",
+		strings.NewReader(fmt.Sprintf(benchDocument, target)))
+	put.Header.Set("Content-Type", "application/yaml")
+	resp, err := http.DefaultClient.Do(put)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b.Fatalf("configuration: %s", resp.Status)
+	}
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		for i, d := range vms {
+			if len(d.Targets(time.Now())) > 0 && d.Holders(time.Now())[0].Holder != "" && vms[1-i].Holders(time.Now())[0].Holder != "" {
+				own, other = d.CallerAddress(), vms[1-i].CallerAddress()
+				warm(b, own, other)
+				return own, other
+			}
+		}
+	}
+	b.Fatal("no VM took the pool")
+	return "", ""
+}
+
+// warm sends calls until the target has left its cold start.
+func warm(b *testing.B, addresses ...string) {
+	b.Helper()
+	client := newClient()
+	defer client.CloseIdleConnections()
+	for range 3000 {
+		for _, a := range addresses {
+			get(b, client, a)
+		}
+	}
+}
+
+func freeAddress(b *testing.B) string {
+	b.Helper()
+	l := httptest.NewUnstartedServer(nil).Listener
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+}
+
+func get(b *testing.B, client *http.Client, address string) {
+	resp, err := client.Get("http://" + address + "/plan/42")
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b.Errorf("status %s", resp.Status)
+	}
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkPath measures a call that goes directly to the target, over the VM
+// that holds the pool, and over another VM with one forward. All three run in
+// turns in one process, so that noise of the machine hits them alike. The
+// processor time is that of the whole process: caller, VMs and target.
+func BenchmarkPath(b *testing.B) {
+	body := strings.Repeat("x", 1500)
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Goldcresthinge-Instance", "i1")
+		_, _ = io.WriteString(w, body)
+	}))
+	b.Cleanup(target.Close)
+	direct := target.Listener.Addr().String()
+	own, other := startPair(b, direct)
+	for _, callers := range []int{1, 16} {
+		for _, way := range []struct{ name, address string }{{"direct", direct}, {"own", own}, {"forward", other}} {
+			b.Run(fmt.Sprintf("%s/callers=%d", way.name, callers), func(b *testing.B) { measure(b, way.address, callers) })
+		}
+	}
+}
+
+func measure(b *testing.B, address string, callers int) {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	merged := hdrhistogram.New(1, 10_000_000, 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	b.ReportAllocs()
+	b.ResetTimer()
+	start := cpuTime()
+	for i := range callers {
+		n := b.N / callers
+		if i < b.N%callers {
+			n++
+		}
+		wg.Go(func() {
+			h := hdrhistogram.New(1, 10_000_000, 3)
+			for range n {
+				begin := time.Now()
+				get(b, client, address)
+				_ = h.RecordValue(time.Since(begin).Microseconds())
+			}
+			mu.Lock()
+			merged.Merge(h)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64((cpuTime()-start).Microseconds())/float64(b.N), "cpu-us/op")
+	b.ReportMetric(float64(merged.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(merged.ValueAtQuantile(99)), "p99-us")
+}
