daemon: wait for candidate lists in the benchmark of the path

Cause: the first calls of the benchmark were refused as no-holder, since the lists are refreshed every 100 ms. Change: the benchmark waits 300 ms.

--- a/internal/daemon/path_bench_test.go
+++ b/internal/daemon/path_bench_test.go
@@ -73,6 +73,7 @@
 		for i, d := range vms {
 			if len(d.Targets(time.Now())) > 0 && d.Holders(time.Now())[0].Holder != "" && vms[1-i].Holders(time.Now())[0].Holder != "" {
 				own, other = d.CallerAddress(), vms[1-i].CallerAddress()
+				time.Sleep(300 * time.Millisecond) // until the candidate lists are refreshed
 				warm(b, own, other)
 				return own, other
 			}
@@ -114,7 +115,7 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		b.Errorf("status %s", resp.Status)
+		b.Errorf("status %s: %s", resp.Status, resp.Header.Get("Goldcresthinge-Reason"))
 	}
 }
 
