docs: operations page, checked against the settings

Ruled out: generating the table; a test that compares flag, variable and default with the page is shorter. Conclusion: the page cannot drift from the settings.

--- /dev/null
+++ b/internal/settings/docs_test.go
@@ -0,0 +1,32 @@
+package settings_test
+
+import (
+	"os"
+	"reflect"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/settings"
+)
+
+// Guards against a setting or default that the page for operators does not
+// show, or shows with another value.
+var _ = Describe("docs/operations.md", func() {
+	page, err := os.ReadFile("../../docs/operations.md")
+	Expect(err).NotTo(HaveOccurred())
+	fields := reflect.VisibleFields(reflect.TypeFor[settings.Settings]())
+	for _, field := range fields {
+		flag, _, _ := strings.Cut(field.Tag.Get("arg"), ",")
+		It("describes "+flag, func() {
+			variable := settings.EnvPrefix + strings.ToUpper(strings.ReplaceAll(strings.TrimPrefix(flag, "--"), "-", "_"))
+			start := "| `" + flag + "` | `" + variable + "` | "
+			_, row, found := strings.Cut(string(page), start)
+			Expect(found).To(BeTrue(), "no row starts with %s", start)
+			if value := field.Tag.Get("default"); value != "" {
+				Expect(row).To(HavePrefix(value + " |"))
+			}
+		})
+	}
+})
