claim, standin: report gone callers, bound the record by rows

Cause: a caller that left during the commit was reported with reason deadline; the stand-in's record of writes was bounded by transactions, which with 64 rows each could take about 1 GB; a scan sorted all rows of the table.

Ruled out: nothing.

Change: the refusal carries the cause of the context. The record is bounded by 65,536 rows. A scan sorts only matching rows.

Measured: nothing. The 1 GB is an estimate from 250 B per row.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -5,6 +5,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -223,7 +224,7 @@
 	case l.tooLate(ctx):
 		// The VM may have been paused after the commit, with the caller long gone.
 		l.release(w, r.version)
-		return nil, l.refuse(ctxRefusal(context.DeadlineExceeded))
+		return nil, l.refuse(ctxRefusal(cmp.Or(ctx.Err(), context.DeadlineExceeded)))
 	}
 	l.metrics.granted.Inc(1)
 	return &Claim{ledger: l, key: w.key, record: w.record, version: r.version, recheck: w.maybeStored}, nil
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -1,6 +1,7 @@
 package claim_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
@@ -216,6 +217,17 @@
 		w.Expect(err).NotTo(HaveOccurred())
 	}))
 
+	// Guards against a permission for a caller that has gone during the commit.
+	It("gives no permission to a caller that has gone", bubble(func(w *world) {
+		a, h := w.ledger("a")
+		ctx, cancel := context.WithCancel(w.ctx)
+		h.after = func(error) { h.after = nil; cancel() }
+		_, err := a.Claim(ctx, key)
+		w.expectRefused(err, outcome.NotRun, outcome.ReasonCanceled, http.StatusServiceUnavailable)
+		w.sleep(time.Minute)
+		w.Expect(w.store.Rows("")).To(BeEmpty())
+	}))
+
 	// Guards against a key that stays claimed when its deletion meets an outage.
 	DescribeTable("repeats a lost release",
 		func(f standin.Fault) {
--- a/internal/platform/standin/client.go
+++ b/internal/platform/standin/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -91,13 +90,15 @@
 }
 
 func (s *Server) scan(prefix string, limit int) []platform.Row {
-	keys := slices.Sorted(maps.Keys(s.rows))
-	start, _ := slices.BinarySearch(keys, prefix)
-	var rows []platform.Row
-	for _, k := range keys[start:] {
-		if len(rows) >= limit || !strings.HasPrefix(k, prefix) {
-			break
+	var keys []string
+	for k := range s.rows {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
 		}
+	}
+	slices.Sort(keys)
+	var rows []platform.Row
+	for _, k := range keys[:min(len(keys), max(limit, 0))] {
 		row := s.rows[k]
 		row.Value = bytes.Clone(row.Value)
 		rows = append(rows, row)
--- a/internal/platform/standin/server.go
+++ b/internal/platform/standin/server.go
@@ -19,8 +19,8 @@
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 )
 
-// maxRecorded bounds the record of writes, so that a long demonstration does
-// not run out of memory. The oldest entries are dropped.
+// maxRecorded bounds the record of writes, counted in rows, so that a long
+// demonstration does not run out of memory. The older half is dropped.
 const maxRecorded = 1 << 16
 
 // Write is a recorded write that took effect: a transaction or an object.
@@ -48,6 +48,7 @@
 	objects  map[string][]byte
 	vms      []vmList // by time
 	recorded []Write
+	rowsKept int // rows in recorded, each transaction and object counted as one more
 }
 
 type waiting struct {
@@ -235,8 +236,14 @@
 
 func (s *Server) record(w Write) {
 	w.At = s.clock.Now()
-	if len(s.recorded) >= maxRecorded {
-		s.recorded = slices.Delete(s.recorded, 0, maxRecorded/4)
-	}
 	s.recorded = append(s.recorded, w)
+	s.rowsKept += len(w.Ops) + 1
+	if s.rowsKept <= maxRecorded {
+		return
+	}
+	s.recorded = slices.Clone(s.recorded[len(s.recorded)/2:])
+	s.rowsKept = 0
+	for _, r := range s.recorded {
+		s.rowsKept += len(r.Ops) + 1
+	}
 }
