--- a/internal/claim/batch_test.go
+++ b/internal/claim/batch_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,25 +15,6 @@
 	"goldcresthinge.example/goldcresthinge/internal/platform/standin"
 )
 
-// claimAll makes n claims at once and returns those granted.
-func (w *world) claimAll(l *claim.Ledger, n int) []*claim.Claim {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	var granted []*claim.Claim
-	for i := range n {
-		wg.Go(func() {
-			c, err := l.Claim(w.ctx, claim.Key{Key: fmt.Sprint(i)})
-			mu.Lock()
-			defer mu.Unlock()
-			if err == nil {
-				granted = append(granted, c)
-			}
-		})
-	}
-	wg.Wait()
-	return granted
-}
-
 var _ = Describe("Group commit", func() {
 	// Guards against one transaction per claim, which the table's limit does not bear.
 	It("puts a burst into one transaction per 64 claims", bubble(func(w *world) {
@@ -49,10 +29,10 @@
 
 	It("commits a single claim after 5 ms", bubble(func(w *world) {
 		l, _ := w.ledger("a")
-		start := time.Now()
+		start := w.clock.Now()
 		_, err := l.Claim(w.ctx, key)
 		w.Expect(err).NotTo(HaveOccurred())
-		w.Expect(w.store.Writes()[0].At).To(Equal(start.Add(5 * time.Millisecond))) // fake time
+		w.Expect(w.store.Writes()[0].At).To(Equal(start.Add(5 * time.Millisecond)))
 	}))
 
 	// Guards against claims that fail, or are lost, because others of their
@@ -86,22 +66,22 @@
 
 	// Guards against a queue that grows without bound while the store is frozen.
 	It("refuses claims at once when too many wait", bubble(func(w *world) {
-		l, _ := w.ledger("a")
+		l, _ := w.ledger("a", claim.WithQueue(100))
 		w.store.SetFaults(standin.Fault{Frozen: true})
 		var full atomic.Int32
 		var wg sync.WaitGroup
-		start := time.Now()
-		const claims = 4096 + 4*64 + 1000
+		start := w.clock.Now()
+		const claims = 100 + 4*64 + 50 // queue, in transactions, too many
 		for i := range claims {
 			wg.Go(func() {
 				_, err := l.Claim(w.ctx, claim.Key{Key: fmt.Sprint(i)})
-				if refusal(err).Reason == outcome.ReasonQueueFull && time.Since(start) == 0 { // fake time
+				if refusal(err).Reason == outcome.ReasonQueueFull && w.clock.Since(start) == 0 {
 					full.Add(1)
 				}
 			})
 		}
 		wg.Wait()
-		w.Expect(full.Load()).To(BeNumerically(">=", 1000))
+		w.Expect(full.Load()).To(BeNumerically(">=", 50))
 	}))
 })
 
@@ -131,11 +111,11 @@
 				c, err := l.Claim(w.ctx, key)
 				w.Expect(err).NotTo(HaveOccurred())
 				w.store.SetFaults(f)
-				ctx, cancel := context.WithTimeout(w.ctx, 3*time.Second)
+				ctx, cancel := w.timeout(3 * time.Second)
 				defer cancel()
 				stored := make(chan error, 1)
 				go func() { stored <- c.Done(w.ctx, 200) }()
-				synctest.Wait()
+				w.sleep(50 * time.Millisecond)
 				w.Expect(l.Close(ctx)).NotTo(Succeed())
 				w.Expect(<-stored).NotTo(Succeed())
 			})()
--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -7,8 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	. "github.com/onsi/gomega"
-
 	"goldcresthinge.example/goldcresthinge/internal/claim"
 	"goldcresthinge.example/goldcresthinge/internal/platform/standin"
 	"goldcresthinge.example/goldcresthinge/internal/vm"
@@ -47,11 +45,7 @@
 		Name: "load",
 		F: func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(NewWithT(t))
-				f(w)
-				for _, c := range w.close {
-					c()
-				}
+				runWorld(t, f)
 			})
 		},
 	}})
@@ -69,14 +63,14 @@
 		WritesPerS: 300, MaxBacklogMs: 2000,
 		Faults: []standin.Fault{{DelayMs: 4}}, // round trip and work of the table
 	})
-	start := time.Now()
+	start := w.clock.Now()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for v := range vms {
 		l, _ := w.ledger(vm.ID(fmt.Sprint(v)), claim.WithBatch(size, 5*time.Millisecond))
 		for c := range callers {
 			wg.Go(func() {
-				for i := 0; time.Since(start) < length; i++ {
+				for i := 0; w.clock.Since(start) < length; i++ {
 					cl, err := l.Claim(w.ctx, claim.Key{Tenant: fmt.Sprint(v), Route: fmt.Sprint(c), Key: fmt.Sprint(i)})
 					if err == nil {
 						err = cl.Done(w.ctx, 200)
@@ -93,5 +87,5 @@
 		}
 	}
 	wg.Wait()
-	return calls, refused, time.Since(start).Seconds()
+	return calls, refused, w.clock.Since(start).Seconds()
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -5,6 +5,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -78,6 +79,12 @@
 	return func(l *Ledger) { l.batch.size, l.batch.wait = size, wait }
 }
 
+// WithQueue sets the most claims that wait for a transaction. The default is
+// 4,096; more are refused at once.
+func WithQueue(limit int) Option {
+	return func(l *Ledger) { l.batch.limit = limit }
+}
+
 // New returns a ledger. self returns the VM as it is registered now. Close
 // must be called to end it.
 func New(table platform.Table, self func() vm.Info, liveness Liveness, clock quartz.Clock,
@@ -217,7 +224,7 @@
 	case l.tooLate(ctx):
 		// The VM may have been paused after the commit, with the caller long gone.
 		l.release(w, r.version)
-		return nil, l.refuse(ctxRefusal(context.DeadlineExceeded))
+		return nil, l.refuse(ctxRefusal(cmp.Or(ctx.Err(), context.DeadlineExceeded)))
 	}
 	l.metrics.granted.Inc(1)
 	return &Claim{ledger: l, key: w.key, record: w.record, version: r.version, recheck: w.maybeStored}, nil
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -3,18 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/coder/quartz"
-	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/uber-go/tally/v4"
 
 	"goldcresthinge.example/goldcresthinge/internal/claim"
 	"goldcresthinge.example/goldcresthinge/internal/outcome"
@@ -23,8 +17,6 @@
 	"goldcresthinge.example/goldcresthinge/internal/vm"
 )
 
-var suite *testing.T
-
 func TestClaim(t *testing.T) {
 	suite = t
 	RegisterFailHandler(Fail)
@@ -33,93 +25,6 @@
 
 var key = claim.Key{Tenant: "authority", Route: "/orders", Key: "k-1"}
 
-// hooked calls after with the result of each commit, before its caller gets it.
-type hooked struct {
-	platform.Table
-	after func(error)
-}
-
-func (h *hooked) Commit(ctx context.Context, ops []platform.Op) ([]platform.Row, error) {
-	rows, err := h.Table.Commit(ctx, ops)
-	if h.after != nil {
-		h.after(err)
-	}
-	return rows, err
-}
-
-// world is a store with some VMs, under the fake time of a synctest bubble: the
-// clock of quartz reads it, and it stands still while any goroutine can run.
-type world struct {
-	Gomega
-	store *standin.Server
-	ctx   context.Context
-	mu    sync.Mutex
-	dead  map[vm.ID]bool
-	close []func()
-}
-
-func (w *world) Alive(id vm.ID, _ uint64) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return !w.dead[id]
-}
-
-func (w *world) kill(id vm.ID) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.dead[id] = true
-}
-
-func newWorld(g Gomega) *world {
-	return &world{
-		Gomega: g, ctx: context.Background(), dead: map[vm.ID]bool{},
-		store: standin.NewServer(quartz.NewReal(), 1),
-	}
-}
-
-func (w *world) ledger(id vm.ID, options ...claim.Option) (*claim.Ledger, *hooked) {
-	h := &hooked{Table: w.store.As(string(id))}
-	self := func() vm.Info { return vm.Info{ID: id, Incarnation: 7} }
-	l := claim.New(h, self, w, quartz.NewReal(), log.NewNopLogger(), tally.NoopScope, options...)
-	w.close = append(w.close, func() {
-		ctx, cancel := context.WithTimeout(w.ctx, time.Minute)
-		defer cancel()
-		_ = l.Close(ctx)
-	})
-	return l, h
-}
-
-// bubble runs a spec in fake time.
-func bubble(spec func(w *world)) func() {
-	return func() {
-		failed := true
-		synctest.Test(suite, func(t *testing.T) {
-			defer func() { failed = t.Failed() }()
-			w := newWorld(NewWithT(t))
-			spec(w)
-			w.store.SetFaults()
-			for _, c := range w.close {
-				c()
-			}
-		})
-		Expect(failed).To(BeFalse())
-	}
-}
-
-// refusal returns the outcome of a refused claim.
-func refusal(err error) outcome.Error {
-	var e *outcome.Error
-	if !errors.As(err, &e) {
-		return outcome.Error{Detail: fmt.Sprintf("not an outcome: %v", err)}
-	}
-	return *e
-}
-
-func (w *world) expectRefused(err error, k outcome.Kind, r outcome.Reason, status int) {
-	e := refusal(err)
-	w.Expect([]any{e.Kind, e.Reason, e.Status}).To(Equal([]any{k, r, status}), "%v", err)
-}
-
 var _ = Describe("Ledger", func() {
 	It("stores the VM and its incarnation, and nothing of the request", bubble(func(w *world) {
 		l, _ := w.ledger("a")
@@ -253,7 +158,7 @@
 		c, err := a.Claim(w.ctx, key)
 		w.Expect(err).NotTo(HaveOccurred(), "the own refused attempt blocks a retry")
 		w.Expect(c.NotRun(w.ctx)).To(Succeed())
-		time.Sleep(time.Minute)
+		w.sleep(time.Minute)
 		w.Expect(w.store.Rows("")).To(BeEmpty())
 		_, err = b.Claim(w.ctx, key)
 		w.Expect(err).NotTo(HaveOccurred())
@@ -267,18 +172,18 @@
 		_, err := a.Claim(w.ctx, key)
 		w.expectRefused(err, outcome.NotRun, outcome.ReasonStoreDown, http.StatusServiceUnavailable)
 		w.store.SetFaults()
-		time.Sleep(time.Minute)
+		w.sleep(time.Minute)
 		w.Expect(w.store.Rows("")).To(BeEmpty())
 	}))
 
 	It("removes the row of a claim whose caller gave up", bubble(func(w *world) {
 		a, _ := w.ledger("a")
 		w.store.SetFaults(standin.Fault{DelayMs: 500})
-		ctx, cancel := context.WithTimeout(w.ctx, 100*time.Millisecond)
+		ctx, cancel := w.timeout(100 * time.Millisecond)
 		defer cancel()
 		_, err := a.Claim(ctx, key)
 		w.expectRefused(err, outcome.NotRun, outcome.ReasonDeadline, http.StatusGatewayTimeout)
-		time.Sleep(time.Minute)
+		w.sleep(time.Minute)
 		w.Expect(w.store.Writes()).To(HaveLen(2))
 		w.Expect(w.store.Rows("")).To(BeEmpty())
 	}))
@@ -287,11 +192,11 @@
 	// between the commit and its answer, and the context's timer stands still.
 	It("gives no permission after a pause beyond the deadline", bubble(func(w *world) {
 		a, h := w.ledger("a")
-		ctx := pausedContext{w.ctx, time.Now().Add(time.Second)}
-		h.after = func(error) { h.after = nil; time.Sleep(2 * time.Second) }
+		ctx := clockContext{w.ctx, w.clock.Now().Add(time.Second)} // never canceled
+		h.after = func(error) { h.after = nil; w.sleep(2 * time.Second) }
 		_, err := a.Claim(ctx, key)
 		w.expectRefused(err, outcome.NotRun, outcome.ReasonDeadline, http.StatusGatewayTimeout)
-		time.Sleep(time.Minute)
+		w.sleep(time.Minute)
 		w.Expect(w.store.Rows("")).To(BeEmpty())
 	}))
 
@@ -305,13 +210,24 @@
 		w.Expect(err).NotTo(HaveOccurred())
 		w.Expect(c.NotRun(w.ctx)).To(Succeed())
 		w.Expect(w.store.Rows("")).To(BeEmpty())
-		time.Sleep(8 * time.Second)
+		w.sleep(8 * time.Second)
 		w.Expect(w.store.Rows("")).To(HaveLen(1), "the late insert is not under test")
-		time.Sleep(time.Minute)
+		w.sleep(time.Minute)
 		_, err = b.Claim(w.ctx, key)
 		w.Expect(err).NotTo(HaveOccurred())
 	}))
 
+	// Guards against a permission for a caller that has gone during the commit.
+	It("gives no permission to a caller that has gone", bubble(func(w *world) {
+		a, h := w.ledger("a")
+		ctx, cancel := context.WithCancel(w.ctx)
+		h.after = func(error) { h.after = nil; cancel() }
+		_, err := a.Claim(ctx, key)
+		w.expectRefused(err, outcome.NotRun, outcome.ReasonCanceled, http.StatusServiceUnavailable)
+		w.sleep(time.Minute)
+		w.Expect(w.store.Rows("")).To(BeEmpty())
+	}))
+
 	// Guards against a key that stays claimed when its deletion meets an outage.
 	DescribeTable("repeats a lost release",
 		func(f standin.Fault) {
@@ -321,12 +237,12 @@
 				c, err := a.Claim(w.ctx, key)
 				w.Expect(err).NotTo(HaveOccurred())
 				w.store.SetFaults(f)
-				ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+				ctx, cancel := w.timeout(time.Second)
 				defer cancel()
 				_ = c.NotRun(ctx)
-				time.Sleep(time.Minute)
+				w.sleep(time.Minute)
 				w.store.SetFaults()
-				time.Sleep(time.Minute)
+				w.sleep(time.Minute)
 				w.Expect(w.store.Rows("")).To(BeEmpty())
 				_, err = b.Claim(w.ctx, key)
 				w.Expect(err).NotTo(HaveOccurred())
@@ -344,12 +260,12 @@
 		c, err := a.Claim(w.ctx, key)
 		w.Expect(err).NotTo(HaveOccurred())
 		w.store.SetFaults(standin.Fault{Down: true, WritesOnly: true, Count: 1})
-		ctx, cancel := context.WithTimeout(w.ctx, 10*time.Millisecond)
+		ctx, cancel := w.timeout(10 * time.Millisecond)
 		defer cancel()
 		w.Expect(c.NotRun(ctx)).NotTo(Succeed())
 		_, err = a.Claim(w.ctx, key)
 		w.Expect(err).NotTo(HaveOccurred())
-		time.Sleep(time.Minute)
+		w.sleep(time.Minute)
 		w.Expect(w.store.Rows("")).To(HaveLen(1), "the release deleted the new claim")
 	}))
 
@@ -360,21 +276,13 @@
 		c, err := a.Claim(w.ctx, key)
 		w.Expect(err).NotTo(HaveOccurred())
 		w.store.SetFaults(standin.Fault{LoseAnswer: true, Callers: []string{"a"}})
-		ctx, cancel := context.WithTimeout(w.ctx, 200*time.Millisecond)
+		ctx, cancel := w.timeout(200 * time.Millisecond)
 		defer cancel()
 		_ = c.NotRun(ctx)
 		_, err = b.Claim(w.ctx, key)
 		w.Expect(err).NotTo(HaveOccurred())
 		w.store.SetFaults()
-		time.Sleep(time.Minute)
+		w.sleep(time.Minute)
 		w.Expect(w.store.Rows("")).To(HaveLen(1))
 	}))
 })
-
-// pausedContext has a deadline, but its timer never fires.
-type pausedContext struct {
-	context.Context
-	deadline time.Time
-}
-
-func (c pausedContext) Deadline() (time.Time, bool) { return c.deadline, true }
