--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -48,8 +48,18 @@
 type seen struct {
 	incarnation, counter uint64
 	since                time.Time
+	tried                []triedAt // counters above counter, growing
 }
 
+// triedAt is a renewal known as sent at a time. triedKept bounds their number;
+// without an entry the age counts from a later time.
+type triedAt struct {
+	counter uint64
+	at      time.Time
+}
+
+const triedKept = 16
+
 // holding is a pool that this VM serves.
 type holding struct {
 	epoch   uint64
--- a/internal/lease/heartbeat.go
+++ b/internal/lease/heartbeat.go
@@ -17,7 +17,7 @@
 	hb.FailureDomain = c.self.FailureDomain
 	hb.SiblingAddress = c.self.SiblingAddress
 	hb.Incarnation = c.own.incarnation
-	hb.LeaseCounter = c.own.counter
+	hb.LeaseCounter, hb.LeaseTried = c.own.counter, c.own.tried
 	hb.StoreReachable = !c.unreachable(now)
 	hb.Leaving = c.leaving
 	hb.EpochDigest = c.digest
@@ -72,6 +72,7 @@
 	c.digests[id] = hb.EpochDigest
 	if hb.Incarnation != 0 {
 		c.observe(now, id, hb.Incarnation, hb.LeaseCounter)
+		c.observeTried(now, id, hb.LeaseTried)
 	}
 	for _, inc := range hb.Dropped {
 		c.dropped[inc] = true
--- a/internal/lease/own.go
+++ b/internal/lease/own.go
@@ -19,7 +19,8 @@
 // ownLease is the state of the own lease row.
 type ownLease struct {
 	incarnation uint64 // 0: not registered
-	counter     uint64
+	counter     uint64 // of the last renewal that took effect
+	tried       uint64 // of the last renewal sent; never used again
 	version     uint64
 	renewed     time.Time // before the last renewal that took effect was sent
 	witnesses   []uint64  // as in the row
@@ -77,7 +78,7 @@
 	}
 	row := &siblingpb.LeaseRow{
 		VmId: string(c.self.ID), FailureDomain: c.self.FailureDomain,
-		SiblingAddress: c.self.SiblingAddress, Leaving: c.leaving, Counter: o.counter + 1,
+		SiblingAddress: c.self.SiblingAddress, Leaving: c.leaving, Counter: o.tried + 1,
 	}
 	switch {
 	case o.incarnation == 0 && (c.leaving || !c.mayRegister(now)):
@@ -87,7 +88,6 @@
 		return
 	case o.incarnation == 0:
 		row.Incarnation = c.newInc()
-		row.Counter = 1
 		o.version = c.vms[c.self.ID].version
 	case finish:
 		c.stopPools()
@@ -99,13 +99,12 @@
 	if row.State == active {
 		row.Witnesses = c.currentWitnesses(row.Incarnation)
 	}
-	for _, t := range o.tries {
-		// A lost write may still take effect and then shows its counter.
-		row.Counter = max(row.Counter, t.row.Counter+1)
-	}
+	o.tried = row.Counter
 	o.tries = append(o.tries, attempt{row: row, sent: now})
 	c.ownSent(now)
 	c.emit(action{kind: actLease, seq: o.seq, ops: []platform.Op{{Key: key, Value: encode(row), IfVersion: o.version}}})
+	// Siblings count the age of a renewal from the heartbeat that names it.
+	c.emit(action{kind: actBeat})
 }
 
 // mayRegister reports whether the own row can be written under a new
@@ -146,7 +145,6 @@
 		c.storeFailed()
 		o.next = now.Add(c.jitter(RenewEvery / 4))
 	}
-	c.emit(action{kind: actBeat})
 	c.settle(now)
 }
 
@@ -155,6 +153,9 @@
 func (c *core) leaseWritten(now time.Time, t attempt, version uint64) {
 	o := &c.own
 	registered := o.incarnation == 0
+	if !registered && elapsedValid(o.renewed, now) >= TTL {
+		c.graceUntil = now.Add(returnGrace)
+	}
 	o.incarnation, o.counter, o.version = t.row.Incarnation, t.row.Counter, version
 	o.witnesses, o.renewed = t.row.Witnesses, t.sent
 	o.tries, o.unsettled = nil, false
@@ -174,6 +175,7 @@
 		c.graceUntil = now.Add(graceAge)
 		c.table.next = now
 		c.logf("registered")
+		c.emit(action{kind: actBeat})
 	}
 	if c.leaving != t.row.Leaving {
 		o.next = now
@@ -250,6 +252,13 @@
 	}
 }
 
-func (c *core) storeAnswered() { c.store = storeState{} }
+func (c *core) storeAnswered() { c.setStore(false) }
+
+func (c *core) storeFailed() { c.setStore(true) }
 
-func (c *core) storeFailed() { c.store = storeState{down: true} }
+func (c *core) setStore(down bool) {
+	if c.store.down != down {
+		c.emit(action{kind: actBeat})
+	}
+	c.store = storeState{down: down}
+}
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -24,10 +24,7 @@
 	if !c.mayWrite(now) {
 		return
 	}
-	if !c.leaving && !now.Before(c.graceUntil) && c.planTakeover(now) {
-		return
-	}
-	if c.planCleanup(now) {
+	if !c.leaving && !now.Before(c.graceUntil) && (c.planTakeover(now) || c.planCleanup(now)) {
 		return
 	}
 	c.planHandover(now)
@@ -218,9 +215,6 @@
 // count as witnesses, and deletes rows that have served their purpose. One
 // chosen VM does it, one row at a time.
 func (c *core) planCleanup(now time.Time) bool {
-	if c.leaving {
-		return false
-	}
 	best, ok := vm.Preferred(c.takeoverCandidates(now), "cleanup")
 	if !ok || best.ID != c.self.ID {
 		return false
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -14,14 +14,15 @@
 // tableLane is the state of the requests for assignment rows and foreign lease
 // rows. At most one is in flight, so an answer is never older than the view.
 type tableLane struct {
-	scanned  bool // at least one scan succeeded
-	inFlight bool
-	next     time.Time // next scan
-	last     time.Time // end of the last scan
-	nextAll  time.Time
-	nextHand time.Time
-	hand     *handover // running planned handover
-	reads    []string  // failure domains whose row is to be read
+	scanned   bool // at least one scan succeeded
+	inFlight  bool
+	next      time.Time // next scan
+	last      time.Time // end of the last scan
+	nextAll   time.Time
+	nextHand  time.Time
+	conflicts int       // in a row, without a scan between
+	hand      *handover // running planned handover
+	reads     []string  // failure domains whose row is to be read
 }
 
 // scanResult holds assignment rows, then lease rows, read in this order, so a
@@ -88,19 +89,43 @@
 	return ok && s.incarnation == r.Incarnation && s.counter == r.Counter && now.Sub(s.since) >= evidenceAge
 }
 
-// observe notes a renewal counter from a row or a heartbeat.
+// observe notes the counter of a renewal that took effect, from a row or a
+// heartbeat. Its age counts from the first heartbeat that named it as sent.
 func (c *core) observe(now time.Time, id vm.ID, inc, counter uint64) {
 	s, ok := c.seen[id]
-	if !ok || s.incarnation != inc || counter > s.counter {
-		c.seen[id] = seen{incarnation: inc, counter: counter, since: now}
-		c.gen++
+	switch {
+	case !ok || s.incarnation != inc:
+		s = seen{incarnation: inc, counter: counter, since: now}
+	case counter > s.counter:
+		s.counter, s.since = counter, now
+		for _, t := range s.tried {
+			if t.counter >= counter {
+				s.since = t.at
+				break
+			}
+		}
+		s.tried = slices.DeleteFunc(s.tried, func(t triedAt) bool { return t.counter <= counter })
+	default:
+		return
 	}
+	c.gen++
+	c.seen[id] = s
 	if _, ok := c.firstSeen[inc]; !ok {
 		c.firstSeen[inc] = now
 	}
 	c.owners[inc] = id
 }
 
+// observeTried notes the counter of a renewal that was sent and may not have
+// taken effect. Counters only grow, so all up to it were sent by now.
+func (c *core) observeTried(now time.Time, id vm.ID, counter uint64) {
+	s := c.seen[id]
+	if n := len(s.tried); counter > s.counter && n < triedKept && (n == 0 || counter > s.tried[n-1].counter) {
+		s.tried = append(s.tried, triedAt{counter: counter, at: now})
+		c.seen[id] = s
+	}
+}
+
 func (c *core) adoptLease(now time.Time, id vm.ID, r leaseRow, exists bool) {
 	if !exists {
 		c.deleteRow(id)
@@ -141,7 +166,7 @@
 		return
 	}
 	c.storeAnswered()
-	t.scanned, t.last = true, now
+	t.scanned, t.last, t.conflicts = true, now, 0
 	t.next = now.Add(scanEvery*4/5 + c.jitter(scanEvery/5))
 	domains := map[string]domainRow{}
 	for _, row := range res.pools {
@@ -247,6 +272,7 @@
 	switch {
 	case err == nil:
 		c.storeAnswered()
+		c.table.conflicts = 0
 		c.applyRows(now, rows)
 		if c.table.hand != nil {
 			c.handoverWritten(now)
@@ -258,7 +284,12 @@
 		if c.table.hand != nil {
 			c.handoverSettled(now)
 		}
-		c.table.next = now.Add(c.jitter(20 * time.Millisecond))
+		// Another VM changed the same row; the conflict holds its current state.
+		if c.table.conflicts++; c.table.conflicts < maxConflicts {
+			c.plan(now)
+		} else {
+			c.table.next = now.Add(c.jitter(scanEveryAlert / 4))
+		}
 	case errors.Is(err, platform.ErrUnavailable):
 		c.storeFailed()
 		c.table.next = now.Add(c.jitter(scanEveryAlert))
--- a/internal/lease/timing.go
+++ b/internal/lease/timing.go
@@ -29,6 +29,9 @@
 	// graceAge is how long a VM that registered or was isolated takes over no
 	// pool without handover.
 	graceAge = 5 * time.Second
+	// returnGrace follows a renewal after the end of the lease: the other VMs
+	// of an outage get time to renew before one of them takes their pools.
+	returnGrace = 2 * time.Second
 	// isolatedAfter without any exchange with a sibling starts a new grace.
 	isolatedAfter = 3 * time.Second
 
@@ -43,6 +46,7 @@
 	noteKeep        = 10 * time.Minute
 	goneAfter       = 10 * time.Second // least age of a revocation before the VM list counts
 	unreachableWait = 500 * time.Millisecond
+	maxConflicts    = 8
 	scanLimit       = 5000
 	// OpTimeout bounds one request to the table.
 	OpTimeout = 900 * time.Millisecond
--- a/internal/membership/book.go
+++ b/internal/membership/book.go
@@ -45,6 +45,7 @@
 	Status
 	next     time.Time
 	busy     bool // an exchange is running
+	hurried  bool // next was brought forward
 	known    time.Time
 	sentLoad map[inventory.PoolID]load
 }
@@ -90,10 +91,16 @@
 		if info.Region != b.self.Region {
 			every = farEvery
 		}
-		soon := hurry && info.Region == b.self.Region && p.next.Sub(now) < every-minSpacing
-		if p.busy || (now.Before(p.next) && !soon) {
+		if hurry && info.Region == b.self.Region {
+			// Spacing bounds the bytes when several reasons come together.
+			if soon := p.next.Add(minSpacing - every); soon.Before(p.next) && !p.hurried {
+				p.next, p.hurried = soon, true
+			}
+		}
+		if p.busy || now.Before(p.next) {
 			continue
 		}
+		p.hurried = false
 		p.busy, p.next = true, now.Add(every)
 		out = append(out, target{info: info})
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -65,6 +65,7 @@
 	book     *book
 	nextList time.Time
 
+	ctx   atomic.Pointer[context.Context] // of Run
 	hurry atomic.Bool
 	list  atomic.Pointer[listing]
 }
@@ -77,6 +78,7 @@
 // Run sends heartbeats until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
 	defer t.workers.StopAndWait()
+	t.ctx.Store(&ctx)
 	err := t.cfg.Clock.TickerFunc(ctx, tickEvery, func() error {
 		t.tick(ctx)
 		return nil
@@ -107,7 +109,14 @@
 
 // Beat sends heartbeats to the own region soon. It does not block.
 // The keeper calls it under its lock, so it takes none.
-func (t *Table) Beat() { t.hurry.Store(true) }
+func (t *Table) Beat() {
+	if t.hurry.Swap(true) {
+		return
+	}
+	if ctx := t.ctx.Load(); ctx != nil {
+		_ = t.workers.Go(func() { t.tick(*ctx) })
+	}
+}
 
 // Gone reports that the platform removed a VM: a list of VMs read within the
 // last 30 s does not name it. It takes no lock.
