Add measurements of the decisions in virtual time

The event loop calls the pool, admission, dispatch and retry packages; only the baselines are written for the comparison.

--- a/internal/experiment/holder.go
+++ b/internal/experiment/holder.go
@@ -178,6 +178,9 @@
 		}
 	}
 	h.w.tracef("call %d: %s starts at %s, %d waiting", c.id, h.id, g.Target.Name, h.queue.Len())
+	if h.w.onStart != nil {
+		h.w.onStart(h, g.Target.Name)
+	}
 	h.w.servers[g.Target.Name].offer(func(r pool.Result) {
 		h.pool.Release(h.w.now, g, r)
 		if h.dead {
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -40,6 +40,8 @@
 	MaxAttempts int
 	// Merge puts all targets of the service into one pool.
 	Merge bool
+	// Baseline replaces the design by another way to send calls.
+	Baseline Baseline
 	// Warm starts all pools with warm targets, as after a handover.
 	Warm bool
 	// Trace gets one line per decision. Nil: none.
@@ -70,6 +72,8 @@
 	out     map[string]bool // failure domains out of service
 	retries *retry.Budget
 	calls   uint64
+	direct  *direct // nil: the design
+	onStart func(h *holder, target string)
 	states  map[string]string // last traced state per holder and target
 }
 
@@ -117,6 +121,9 @@
 	for _, t := range w.cfg.Service.Targets {
 		w.servers[t.Name] = newServer(w, t.Name, cfg.Service.Slots)
 	}
+	if cfg.Baseline != None {
+		w.direct = newDirect(cfg.Baseline, cfg.VMs)
+	}
 	for i, id := range w.poolIDs() {
 		w.hold(id, w.vms[i%len(w.vms)], w.initial(id))
 	}
@@ -178,6 +185,10 @@
 	if w.counts(&c) {
 		w.Counts.Offered++
 	}
+	if w.direct != nil {
+		w.direct.send(w, at, &c)
+		return
+	}
 	w.retries.First(w.cfg.Service.Name)
 	w.dispatch(&c)
 }
