gateway, daemon: show the last refusals, close callers' connections during a planned stop

Ruled out: SetKeepAlivesEnabled(false), which closes idle connections at once and can cut off a request that is on its way. Measured: nothing beyond the specs. Conclusion: few connections are left when the listener closes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -189,7 +189,7 @@
 	ln := do.MustInvoke[*link](i)
 	ln.ready = d.ready
 	ln.ended = d.callEnded
-	d.callers = newHTTPServer(d.gateway)
+	d.callers = newHTTPServer(http.HandlerFunc(d.serveCaller))
 	d.operators = newHTTPServer(operator.New(operator.Config{
 		Configuration: d.config,
 		Process:       d,
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/lo"
 
+	"goldcresthinge.example/goldcresthinge/internal/gateway"
 	"goldcresthinge.example/goldcresthinge/internal/inventory"
 	"goldcresthinge.example/goldcresthinge/internal/operator"
 )
@@ -77,6 +78,7 @@
 	Holders  []operator.Holder      `json:"holders"`
 	Targets  []operator.Target      `json:"targets"`
 	Siblings []siblingStatus        `json:"siblings"`
+	Refusals []gateway.Refusal      `json:"refusals"` // the last ones, oldest first
 }
 
 type siblingStatus struct {
@@ -95,6 +97,8 @@
 		Process: d.Process(now),
 		Holders: d.Holders(now),
 		Targets: d.Targets(now),
+
+		Refusals: d.gateway.Recent(),
 	}
 	if snap := d.config.Current(); snap != nil {
 		out.Version = snap.Version
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -67,6 +68,15 @@
 	_ = level.Info(d.log).Log("msg", "stopped")
 }
 
+// serveCaller asks callers to connect elsewhere once a planned stop has begun,
+// so that few connections are left when the listener closes.
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if d.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	d.gateway.ServeHTTP(w, r)
+}
+
 func (d *Daemon) waitForForwards(ctx context.Context) {
 	for d.forwards.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	log     log.Logger
 	limiter *limiter
 	metrics *metrics
+	recent  recent
 }
 
 // New returns a Gateway.
@@ -92,6 +93,9 @@
 // InFlight returns the number of calls that this VM works on as receiver.
 func (g *Gateway) InFlight() int { return g.limiter.inFlight() }
 
+// Recent returns the last refusals, oldest first.
+func (g *Gateway) Recent() []Refusal { return g.recent.list() }
+
 func (g *Gateway) now() time.Time { return g.cfg.Clock.Now() }
 
 // ServeHTTP implements http.Handler.
@@ -99,7 +103,7 @@
 	start := g.now()
 	c, refusal := g.accept(w, r, start)
 	if refusal != nil {
-		g.refuse(w, refusal, start)
+		g.refuse(w, "", refusal, start)
 		return
 	}
 	reserved := r.ContentLength
@@ -107,12 +111,12 @@
 		reserved = g.cfg.MaxBody
 	}
 	if !g.limiter.enter(c.Service, reserved) {
-		g.refuse(w, outcome.Busy(outcome.ReasonQueueFull, time.Second), start)
+		g.refuse(w, c.Service, outcome.Busy(outcome.ReasonQueueFull, time.Second), start)
 		return
 	}
 	defer g.limiter.leave(c.Service, reserved)
 	if refusal := g.readBody(w, r, c); refusal != nil {
-		g.refuse(w, refusal, start)
+		g.refuse(w, c.Service, refusal, start)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
@@ -123,7 +127,7 @@
 	}
 	answer, err := g.Do(ctx, c)
 	if err != nil {
-		g.refuse(w, outcome.FromError(err), start)
+		g.refuse(w, c.Service, outcome.FromError(err), start)
 		return
 	}
 	g.reply(w, answer, start)
@@ -142,7 +146,7 @@
 	key := claim.Key{Tenant: c.Tenant, Route: c.Route, Key: c.Header.Get(outcome.HeaderIdempotency)}
 	claimed, err := g.cfg.Claims.Claim(ctx, key)
 	if err != nil {
-		g.refuseDuplicate(w, err, start)
+		g.refuseDuplicate(w, c.Service, err, start)
 		return
 	}
 	answer, err := g.Do(ctx, c)
@@ -152,7 +156,7 @@
 	if err != nil {
 		refusal := outcome.FromError(err)
 		g.settleClaim(settle, claimed, refusal.Kind)
-		g.refuse(w, refusal, start)
+		g.refuse(w, c.Service, refusal, start)
 		return
 	}
 	if err := claimed.Done(settle, answer.Status); err != nil {
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -24,11 +24,11 @@
 // caller is aborted, so that a truncated answer never looks complete.
 func (g *Gateway) reply(w http.ResponseWriter, a *call.Answer, start time.Time) {
 	defer func() { _ = a.Body.Close() }()
+	call.RemoveHopByHop(a.Header)
 	h := w.Header()
 	for name, values := range a.Header {
 		h[name] = values
 	}
-	call.RemoveHopByHop(h)
 	h.Set(outcome.HeaderOutcome, outcome.Answered.String())
 	if a.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
@@ -49,7 +49,12 @@
 }
 
 // refuse writes an outcome that is not an answer.
-func (g *Gateway) refuse(w http.ResponseWriter, e *outcome.Error, start time.Time) {
+func (g *Gateway) refuse(w http.ResponseWriter, service string, e *outcome.Error, start time.Time) {
+	now := g.now()
+	g.recent.add(Refusal{
+		At: now, Service: service, Outcome: e.Kind.String(), Reason: e.Reason,
+		AfterMs: now.Sub(start).Milliseconds(),
+	})
 	g.metrics.outcome(e.Kind).Inc(1)
 	g.metrics.reason(e.Reason).Inc(1)
 	e.WriteHeader(w.Header())
@@ -58,18 +63,18 @@
 		text += ": " + e.Detail
 	}
 	if e.Kind == outcome.Unknown {
-		_ = level.Info(g.log).Log("msg", "call ended as unknown", "reason", e.Reason, "after", g.now().Sub(start))
+		_ = level.Info(g.log).Log("msg", "call ended as unknown", "reason", e.Reason, "after", now.Sub(start))
 	}
 	http.Error(w, text, e.Status)
 }
 
 // refuseDuplicate writes why a claim was refused.
-func (g *Gateway) refuseDuplicate(w http.ResponseWriter, err error, start time.Time) {
+func (g *Gateway) refuseDuplicate(w http.ResponseWriter, service string, err error, start time.Time) {
 	var dup *claim.DuplicateError
 	if errors.As(err, &dup) && dup.EarlierStatus > 0 {
 		w.Header().Set(outcome.HeaderEarlierStatus, strconv.Itoa(dup.EarlierStatus))
 	}
-	g.refuse(w, outcome.FromError(err), start)
+	g.refuse(w, service, outcome.FromError(err), start)
 }
 
 func (g *Gateway) logClaim(msg string, err error) {
