gateway: wait for the new holder of a pool

Cause: at a planned handover a caller got one 503 not-holder, since the receiver learns the new holder a moment later; a service whose failure domains were all out was refused as no-holder. Ruled out: forwarding at the old holder, which would be a second hop. Change: a call waits up to 500 ms in steps of 20 ms for a holder; the reason names failure domains out of service or missing targets.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -220,6 +220,13 @@
 		Expect(p.to[0]).NotTo(Equal(p.to[1]))
 	})
 
+	// Guards against refusals while a pool moves to another holder.
+	It("waits a moment for the new holder of a pool", func() {
+		moved := fails(outcome.Busy(outcome.ReasonNotHolder, 0))
+		p.results = []func() (*call.Answer, error){moved, moved, moved, moved, answer("whole")}
+		expect(request("GET", "/read", ""), 200, outcome.Answered, "")
+	})
+
 	// Guards against a second run of a request whose first run is not known.
 	It("never sends a non-idempotent call again after an unknown outcome", func() {
 		p.results = []func() (*call.Answer, error){fails(outcome.Uncertain(outcome.ReasonTargetLost, "")), answer("second run")}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -18,6 +18,10 @@
 	// crossOverhead is what head and framing of a call add to its body on the
 	// regional link. Unit: bytes.
 	crossOverhead = 2048
+	// A planned handover leaves receivers without the new holder's name for a
+	// fraction of a second. Calls wait for it instead of being refused.
+	holderWait     = 500 * time.Millisecond
+	holderWaitStep = 20 * time.Millisecond
 )
 
 // Do runs c, with retries under the retry budget. Only idempotent calls are
@@ -48,11 +52,46 @@
 	return g.cfg.Budget.Allow(c.Service)
 }
 
-// attempt asks holders until one takes the call. Refusals that say not run
-// reached no target, so another pick repeats nothing.
+// attempt asks the holders of the own region, waits for a pool that changes its
+// holder, and crosses the regional link as the last resort.
 func (g *Gateway) attempt(ctx context.Context, c *call.Call) (*call.Answer, *outcome.Error) {
+	answer, refusal := g.askHolders(ctx, c)
+	for waited := time.Duration(0); waited < holderWait && isChangingHolder(refusal); waited += holderWaitStep {
+		if !g.sleep(ctx, holderWaitStep) {
+			return nil, refusal
+		}
+		answer, refusal = g.askHolders(ctx, c)
+	}
+	if refusal == nil || !mayPickAgain(ctx, refusal) {
+		return answer, refusal
+	}
+	return g.cross(ctx, c, refusal)
+}
+
+// isChangingHolder reports whether another holder may serve the call shortly.
+func isChangingHolder(refusal *outcome.Error) bool {
+	if refusal == nil || refusal.Kind != outcome.NotRun {
+		return false
+	}
+	return refusal.Reason == outcome.ReasonNotHolder || refusal.Reason == outcome.ReasonNoHolder
+}
+
+func (g *Gateway) sleep(ctx context.Context, d time.Duration) bool {
+	timer := g.cfg.Clock.NewTimer(d, "holder")
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// askHolders asks holders until one takes the call. Refusals that say not run
+// reached no target, so another pick repeats nothing.
+func (g *Gateway) askHolders(ctx context.Context, c *call.Call) (*call.Answer, *outcome.Error) {
 	var exclude []inventory.PoolID
-	refusal := outcome.Busy(outcome.ReasonNoHolder, time.Second)
+	refusal := g.noCandidate(c.Service)
 	for range maxPicks {
 		now := g.now()
 		cand, ok := g.cfg.Table.Pick(now, c.Service, g.ownFree(now, c.Service), exclude)
@@ -72,7 +111,23 @@
 		}
 		exclude = append(exclude, cand.Pool)
 	}
-	return g.cross(ctx, c, refusal)
+	return nil, refusal
+}
+
+// noCandidate says why a service has no pool in the own region to pick.
+func (g *Gateway) noCandidate(service string) *outcome.Error {
+	snap := g.cfg.Snapshot()
+	reason := outcome.ReasonNoTarget
+	for _, id := range snap.Pools(service) {
+		if snap.RegionOf(id.FailureDomain) != g.cfg.Self.Region {
+			continue
+		}
+		if !snap.OutOfService(id.FailureDomain) {
+			return outcome.Busy(outcome.ReasonNoHolder, time.Second)
+		}
+		reason = outcome.ReasonOutOfService
+	}
+	return outcome.Busy(reason, time.Second)
 }
 
 // ownFree returns the free slots of the own pools and records their queues, so
