--- /dev/null
+++ b/internal/lease/fleet_test.go
@@ -0,0 +1,321 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/coder/quartz"
+	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/lease"
+	"goldcresthinge.example/goldcresthinge/internal/membership"
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// memTable is a table without faults.
+type memTable struct {
+	mu                       sync.Mutex
+	rows                     map[string]platform.Row
+	last                     uint64
+	reads, writes, readBytes int
+}
+
+func (m *memTable) Get(_ context.Context, key string) (platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	row, ok := m.rows[key]
+	m.readBytes += len(key) + len(row.Value)
+	if !ok {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (m *memTable) Scan(_ context.Context, prefix string, _ int) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	var out []platform.Row
+	for key, row := range m.rows {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			out = append(out, row)
+			m.readBytes += len(key) + len(row.Value)
+		}
+	}
+	return out, nil
+}
+
+func (m *memTable) Commit(_ context.Context, ops []platform.Op) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes++
+	var conflict, rows []platform.Row
+	for _, op := range ops {
+		if row := m.rows[op.Key]; row.Version != op.IfVersion {
+			row.Key = op.Key
+			conflict = append(conflict, row)
+		}
+	}
+	if conflict != nil {
+		return nil, &platform.ConflictError{Rows: conflict}
+	}
+	for _, op := range ops {
+		m.last++
+		row := platform.Row{Key: op.Key, Value: op.Value, Version: m.last}
+		if m.rows[op.Key] = row; op.Delete {
+			delete(m.rows, op.Key)
+			row.Version = 0
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// poolSet is a holder that only keeps which pools it serves.
+type poolSet struct {
+	mu    sync.Mutex
+	pools map[inventory.PoolID]uint64
+}
+
+func (p *poolSet) TakePool(id inventory.PoolID, epoch uint64, _ *siblingpb.Handover, _ bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pools[id] = epoch
+}
+
+func (p *poolSet) DropPool(id inventory.PoolID, _ uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pools, id)
+}
+func (p *poolSet) LiftHalfCap(inventory.PoolID) {}
+func (p *poolSet) ExportPool(inventory.PoolID) *siblingpb.Handover {
+	return &siblingpb.Handover{}
+}
+
+func (p *poolSet) loads() []*siblingpb.PoolLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*siblingpb.PoolLoad
+	for id, epoch := range p.pools {
+		out = append(out, &siblingpb.PoolLoad{Service: id.Service, FailureDomain: id.FailureDomain, Free: 2, Epoch: epoch})
+	}
+	return out
+}
+
+type member struct {
+	keeper *lease.Keeper
+	table  *membership.Table
+	pools  *poolSet
+}
+
+// fleet runs keepers and membership tables in one process. Messages pass
+// through their wire format; the fake clock moves only when no work is left.
+type fleet struct {
+	clock   *quartz.Mock
+	store   *memTable
+	members map[string]*member // by sibling address; fixed before the start
+	bytes   atomic.Int64
+	workers []pond.Pool
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// Exchange implements membership.Exchanger.
+func (f *fleet) Exchange(ctx context.Context, to vm.Info, req *siblingpb.Request) (*siblingpb.Response, error) {
+	m, ok := f.members[to.SiblingAddress]
+	if !ok {
+		return nil, fmt.Errorf("no VM at %s", to.SiblingAddress)
+	}
+	var got siblingpb.Request
+	if err := f.send(req, &got); err != nil {
+		return nil, err
+	}
+	resp := &siblingpb.Response{}
+	switch kind := got.Kind.(type) {
+	case *siblingpb.Request_Heartbeat:
+		hb, err := m.table.Handle(ctx, kind.Heartbeat)
+		if err != nil {
+			return nil, err
+		}
+		resp.Kind = &siblingpb.Response_Heartbeat{Heartbeat: hb}
+	case *siblingpb.Request_Handover:
+		resp.Kind = &siblingpb.Response_Ack{Ack: m.keeper.HandleHandover(kind.Handover)}
+	}
+	var back siblingpb.Response
+	return &back, f.send(resp, &back)
+}
+
+func (f *fleet) send(from, to proto.Message) error {
+	b, err := proto.Marshal(from)
+	if err != nil {
+		return err
+	}
+	f.bytes.Add(int64(len(b)))
+	return proto.Unmarshal(b, to)
+}
+
+// newFleet starts vms VMs in domains spread over regions, and pools over the
+// domains.
+func newFleet(tb testing.TB, vms, pools, regions, domains int, changing bool) *fleet {
+	doc := &inventory.Document{}
+	for r := range regions {
+		doc.Regions = append(doc.Regions, inventory.Region{Name: fmt.Sprintf("region-%d", r), Store: r == 0})
+	}
+	for d := range domains {
+		doc.FailureDomains = append(doc.FailureDomains, inventory.FailureDomain{
+			Name: fmt.Sprintf("domain-%d", d), Region: fmt.Sprintf("region-%d", d%regions),
+		})
+	}
+	for p := 0; p < pools; {
+		svc := inventory.Service{Name: fmt.Sprintf("service-%d", p), Slots: 2}
+		for d := 0; d < domains && p < pools; d++ {
+			svc.Targets = append(svc.Targets, inventory.Target{Name: "t", FailureDomain: fmt.Sprintf("domain-%d", d)})
+			p++
+		}
+		doc.Services = append(doc.Services, svc)
+	}
+	snap := inventory.NewSnapshot(1, doc)
+	f := &fleet{clock: quartz.NewMock(tb).WithLogger(quartz.NoOpLogger), store: &memTable{rows: map[string]platform.Row{}}, members: map[string]*member{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	for i := range vms {
+		d := doc.FailureDomains[i%domains]
+		self := vm.Info{ID: vm.ID(fmt.Sprintf("vm-%d", i)), Region: d.Region, FailureDomain: d.Name, SiblingAddress: fmt.Sprintf("10.0.0.%d:7000", i)}
+		m := &member{pools: &poolSet{pools: map[inventory.PoolID]uint64{}}}
+		m.keeper = lease.NewKeeper(lease.Config{
+			Self: self, Table: f.store, Pools: m.pools, Snapshot: func() *inventory.Snapshot { return snap },
+			Exchanger: f, Clock: f.clock, Logger: log.NewNopLogger(), Seed: uint64(i), Workers: f.pool(),
+		})
+		cfg := membership.Config{Self: self, Exchanger: f, Lease: m.keeper, Clock: f.clock, Logger: log.NewNopLogger(), Workers: f.pool()}
+		tick := uint32(0)
+		if changing {
+			cfg.Loads = func() []*siblingpb.PoolLoad {
+				out := m.pools.loads()
+				for _, l := range out {
+					l.Free = atomic.AddUint32(&tick, 1) % 5
+				}
+				return out
+			}
+		}
+		m.table = membership.NewTable(cfg)
+		m.keeper.Attach(m.table.Beat, m.table.Gone)
+		f.members[self.SiblingAddress] = m
+	}
+	trap := f.clock.Trap().TickerFunc()
+	for _, m := range f.members {
+		f.done.Add(2)
+		go func() { defer f.done.Done(); _ = m.keeper.Run(ctx) }()
+		go func() { defer f.done.Done(); _ = m.table.Run(ctx) }()
+	}
+	for range 2 * vms {
+		trap.MustWait(ctx).MustRelease(ctx)
+	}
+	trap.Close()
+	return f
+}
+
+func (f *fleet) pool() pond.Pool {
+	p := pond.NewPool(2)
+	f.workers = append(f.workers, p)
+	return p
+}
+
+// run advances the clock by d and lets all work finish after each step.
+func (f *fleet) run(ctx context.Context, d time.Duration) {
+	for end := f.clock.Now().Add(d); f.clock.Now().Before(end); {
+		_, w := f.clock.AdvanceNext()
+		w.MustWait(ctx)
+		for !f.idle() {
+			runtime.Gosched()
+		}
+	}
+}
+
+// idle reports that no task is left. A task may submit others before it ends,
+// so the sums are read in this order.
+func (f *fleet) idle() bool {
+	var completed, submitted uint64
+	for _, p := range f.workers {
+		completed += p.CompletedTasks()
+	}
+	for _, p := range f.workers {
+		submitted += p.SubmittedTasks()
+	}
+	return completed == submitted
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	f.done.Wait()
+}
+
+// Guards against keepers and membership tables that decide well in the
+// simulation but are wired wrongly: each pool must have one holder, all VMs
+// must agree on it, and a planned stop must move it.
+func TestFleetServesEachPoolOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f := newFleet(t, 4, 12, 1, 2, true)
+	defer f.stop()
+	f.run(ctx, 40*time.Second)
+	f.check(t, 12)
+
+	gone := f.members["10.0.0.1:7000"]
+	released := make(chan error, 1)
+	go func() { released <- gone.keeper.Release(ctx) }()
+	for waiting := true; waiting; {
+		select {
+		case err := <-released:
+			if err != nil {
+				t.Fatal(err)
+			}
+			waiting = false
+		default:
+			f.run(ctx, 100*time.Millisecond)
+		}
+	}
+	f.run(ctx, 10*time.Second)
+	if mode := gone.keeper.Mode(f.clock.Now()); mode != lease.Lost || len(gone.pools.pools) != 0 {
+		t.Errorf("after its release the VM is in mode %v and serves %d pools", mode, len(gone.pools.pools))
+	}
+	f.check(t, 12)
+}
+
+func (f *fleet) check(t *testing.T, pools int) {
+	t.Helper()
+	served := map[inventory.PoolID]vm.ID{}
+	for _, m := range f.members {
+		for id := range m.pools.pools {
+			holder, ok := m.keeper.HolderOf(id)
+			if _, held := m.keeper.Holds(id); !ok || !held || m.keeper.Mode(f.clock.Now()) != lease.Valid {
+				t.Errorf("the holder of %v does not know that it is", id)
+			}
+			if served[id] != "" {
+				t.Errorf("%v is served by %s and %s", id, served[id], holder.ID)
+			}
+			served[id] = holder.ID
+		}
+	}
+	for _, m := range f.members {
+		for id, want := range served {
+			if holder, _ := m.keeper.HolderOf(id); holder.ID != want && m.keeper.Incarnation() != 0 && m.keeper.Mode(f.clock.Now()) == lease.Valid {
+				t.Errorf("%v is served by %s, a sibling knows %s", id, want, holder.ID)
+			}
+		}
+	}
+	if len(served) != pools {
+		t.Errorf("%d of %d pools are served", len(served), pools)
+	}
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -39,7 +39,8 @@
 	ExportPool(id inventory.PoolID) *siblingpb.Handover
 }
 
-// Config holds what a Keeper needs. All fields but Seed are required.
+// Config holds what a Keeper needs. All fields but Seed and Workers are
+// required.
 type Config struct {
 	Self      vm.Info // Incarnation is ignored
 	Table     platform.Table
@@ -49,6 +50,9 @@
 	Clock     quartz.Clock
 	Logger    log.Logger
 	Seed      uint64 // of the jitter
+	// Workers runs requests; nil: a pool of 4. It must not be shared with work
+	// that can fill it, because renewals would wait.
+	Workers pond.Pool
 }
 
 // Keeper keeps the lease of this VM and the pools it serves. All methods may
@@ -68,7 +72,10 @@
 
 // NewKeeper returns a keeper that does nothing before Run.
 func NewKeeper(cfg Config) *Keeper {
-	k := &Keeper{cfg: cfg, workers: pond.NewPool(4), released: make(chan struct{}), beat: func() {}, ctx: context.Background()}
+	if cfg.Workers == nil {
+		cfg.Workers = pond.NewPool(4)
+	}
+	k := &Keeper{cfg: cfg, workers: cfg.Workers, released: make(chan struct{}), beat: func() {}, ctx: context.Background()}
 	k.core = newCore(cfg.Self, cfg.Clock.Now(), cfg.Seed, newIncarnation, cfg.Snapshot)
 	k.win.Store(&window{})
 	k.view.Store(k.core.buildView())
@@ -94,8 +101,8 @@
 	k.beat, k.core.gone = beat, gone
 }
 
-// Run keeps the lease until ctx ends. It drops no pools at the end; use
-// Release for a planned stop.
+// Run keeps the lease until ctx ends, then stops the workers. It drops no pools
+// at the end; use Release for a planned stop.
 func (k *Keeper) Run(ctx context.Context) error {
 	defer k.workers.StopAndWait()
 	k.mu.Lock()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -41,6 +41,8 @@
 	Clock     quartz.Clock
 	Logger    log.Logger
 
+	Workers pond.Pool // runs exchanges; nil: a pool of 16
+
 	// Version returns the configuration version in force and the age of its
 	// confirmation; ok is false without one.
 	Version func() (version uint64, confirmedAge time.Duration, ok bool)
@@ -72,10 +74,13 @@
 
 // NewTable returns a table that sends nothing before Run.
 func NewTable(cfg Config) *Table {
-	return &Table{cfg: cfg, book: newBook(cfg.Self, cfg.Seeds), workers: pond.NewPool(workers)}
+	if cfg.Workers == nil {
+		cfg.Workers = pond.NewPool(workers)
+	}
+	return &Table{cfg: cfg, book: newBook(cfg.Self, cfg.Seeds), workers: cfg.Workers}
 }
 
-// Run sends heartbeats until ctx ends.
+// Run sends heartbeats until ctx ends, then stops the workers.
 func (t *Table) Run(ctx context.Context) error {
 	defer t.workers.StopAndWait()
 	t.ctx.Store(&ctx)
