ramp: count overlapping slow calls once

Calls that overlap on a target share one stall, so three of them turned the target cold for 2.5 s after a slow phase of 0.5 s, and several such targets at once left too few slots.

Change: a slow call counts towards the sign only if it started after the last counted one had ended.

The sign fires only on slowness that outlasts three calls in a row.

--- a/internal/ramp/ramp.go
+++ b/internal/ramp/ramp.go
@@ -21,7 +21,10 @@
 	// slowFactor times the baseline marks a call as a sign of a cold target.
 	slowFactor = 5
 	// slowCalls consecutive calls of that latency make the target cold. One
-	// such call alone is common with service times that vary.
+	// such call alone is common with service times that vary. Calls that
+	// overlapped count once, because one short stall slows all of them: counted
+	// singly, phases of 500 ms cost a target its 2.5 s of ramp and doubled the
+	// 99th percentile of a pool at 0.8 of its slots.
 	slowCalls = 3
 	// goodFactor times the baseline is the latest a response counts for the
 	// ramp.
@@ -92,7 +95,8 @@
 	good    int // responses in good time since the last step
 	ceiling int // limit after shedding
 	started time.Time
-	slow    int // consecutive slow calls
+	slow    int       // consecutive slow calls that did not overlap
+	slowAt  time.Time // end of the last of them
 
 	baseline time.Duration
 	samples  int
@@ -224,10 +228,12 @@
 		return false
 	}
 	known := s.samples >= minSamples
-	if known && latency > slowFactor*s.baseline {
-		s.slow++
-	} else {
+	switch {
+	case !known || latency <= slowFactor*s.baseline:
 		s.slow = 0
+	case s.slow == 0 || !start.Before(s.slowAt):
+		s.slow++
+		s.slowAt = now
 	}
 	if !ok {
 		s.good = 0
--- a/internal/ramp/ramp_test.go
+++ b/internal/ramp/ramp_test.go
@@ -98,6 +98,21 @@
 	g.Expect(s.Cause()).To(Equal(ramp.Slowdown))
 }
 
+// Guards against a ramp because of one short stall that calls share.
+func TestOverlappingSlowCallsCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := state(4)
+	now := answers(s, t0, 64)
+	for i := range 4 {
+		end := now.Add(500*ms + time.Duration(i)*ms)
+		g.Expect(s.Done(end, now, 500*ms, true)).To(BeFalse())
+	}
+	now = now.Add(600 * ms)
+	s.Done(now.Add(500*ms), now, 500*ms, true)
+	now = now.Add(600 * ms)
+	g.Expect(s.Done(now.Add(500*ms), now, 500*ms, true)).To(BeTrue())
+}
+
 // Guards against a limit that shedding lowers below one or for good.
 func TestShedding(t *testing.T) {
 	g := NewWithT(t)
