admission: refuse earlier when service times vary

Cause: with deadlines of 200 ms and less, a quarter of the capacity went to calls that were started in time for the mean latency and ended too late.

Ruled out: a margin without bound.

Change: Expire believes at most half of the time that a call came with; the holder of the model passes three times the mean latency.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,6 +18,10 @@
 	// lookupShare is the divisor of the bound that gives the places in the
 	// queue that non-idempotent items cannot take from lookups.
 	lookupShare = 4
+	// believedPart of the time that a call came with is the longest expected
+	// latency that refuses it early. Without that bound, an estimate above the
+	// deadlines of all calls would let none run that could correct it.
+	believedPart = 2
 	// minRetryAfter is the unit of the Retry-After header.
 	minRetryAfter = time.Second
 	// maxRetryAfter keeps callers from staying away long after a recovery.
@@ -49,6 +53,8 @@
 	seq   uint64
 	index int
 	of    *tenant
+	// believed is the longest expected latency that refuses this item early.
+	believed time.Duration
 }
 
 // class holds the tenants that have items, in the order of their turns.
@@ -89,7 +95,7 @@
 		q.drop(victim)
 		dropped = append(dropped, victim.Item)
 	}
-	q.classOf(it).push(q, it)
+	q.classOf(it).push(q, it, it.Deadline.Sub(now)/believedPart)
 	return dropped, true
 }
 
@@ -144,16 +150,23 @@
 }
 
 // Expire removes and returns the items that cannot meet their deadline when a
-// call takes expected, in the order of their deadlines.
+// call takes expected, in the order of their deadlines. An expected latency of
+// more than half of the time that a call came with counts as that half. A
+// multiple of the mean latency keeps calls from being served too late when
+// service times vary: the holder passes three times the mean.
 func (q *Queue) Expire(now time.Time, expected time.Duration) []Item {
 	latest := now.Add(expected)
 	var out []Item
 	for _, c := range []*class{&q.firsts, &q.lookups} {
 		for _, t := range slices.Clone(c.turns) {
-			for len(t.items) > 0 && t.items[0].Deadline.Before(latest) {
-				e := t.items[0]
-				q.drop(e)
-				out = append(out, e.Item)
+			if !t.items[0].Deadline.Before(latest) {
+				continue
+			}
+			for _, e := range slices.Clone(t.items) {
+				if e.Deadline.Before(now.Add(min(expected, e.believed))) {
+					q.drop(e)
+					out = append(out, e.Item)
+				}
 			}
 		}
 	}
@@ -183,7 +196,7 @@
 	}
 }
 
-func (c *class) push(q *Queue, it Item) {
+func (c *class) push(q *Queue, it Item, believed time.Duration) {
 	var t *tenant
 	if i := c.find(it.Tenant); i >= 0 {
 		t = c.turns[i]
@@ -193,7 +206,7 @@
 	}
 	c.seq++
 	c.count++
-	e := &entry{Item: it, seq: c.seq, of: t}
+	e := &entry{Item: it, seq: c.seq, of: t, believed: believed}
 	heap.Push(&t.items, e)
 	q.entries[it.ID] = e
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -117,6 +117,20 @@
 	g.Expect(order).To(Equal([]uint64{4, 5, 3, 2}))
 }
 
+// Guards against calls that hold a place without a chance, and against an
+// expected latency so long that every call is refused and none corrects it.
+func TestEarlyRefusal(t *testing.T) {
+	g := NewWithT(t)
+	q := admission.New(8)
+	q.Push(t0, item(1, "a", false, 100))
+	q.Push(t0, item(2, "a", true, 300))
+	g.Expect(q.Expire(t0, 10*time.Second)).To(BeEmpty())
+	g.Expect(q.Expire(t0.Add(70*time.Millisecond), 20*time.Millisecond)).To(BeEmpty())
+	g.Expect(q.Expire(t0.Add(70*time.Millisecond), 40*time.Millisecond)).To(HaveLen(1))
+	g.Expect(q.Expire(t0.Add(151*time.Millisecond), 10*time.Second)).To(HaveLen(1))
+	g.Expect(q.Len()).To(BeZero())
+}
+
 // Guards against advice that brings all refused callers back at once, or that
 // keeps them away long after a recovery.
 func TestRetryAfterIsSpreadAndBounded(t *testing.T) {
--- a/internal/experiment/holder.go
+++ b/internal/experiment/holder.go
@@ -18,6 +18,10 @@
 // meanWeight is the weight of one call in the mean latency of a holder.
 const meanWeight = 0.02
 
+// expectedFactor times the mean latency is what a call is expected to take at
+// most: 95 % of exponential service times are below it.
+const expectedFactor = 3
+
 const ms = time.Millisecond
 
 // holder is the holder side of one pool.
@@ -142,7 +146,7 @@
 	if h.next != nil || h.dead {
 		return
 	}
-	for _, it := range h.queue.Expire(h.w.now, h.mean) {
+	for _, it := range h.queue.Expire(h.w.now, expectedFactor*h.mean) {
 		h.refuse(it, "deadline cannot be met")
 	}
 	for h.queue.Len() > 0 {
