experiment: end a call after an early refusal

Cause: a call that one pool refused because its deadline could not be met was picked again for the other pool with less time left, and was served too late there.

Ruled out: a stricter margin for calls with little time, since a short deadline is not in itself a sign of a second pick.

Change: the receiver of the model ends a call after such a refusal.

--- a/internal/experiment/holder.go
+++ b/internal/experiment/holder.go
@@ -22,6 +22,9 @@
 // most: 95 % of exponential service times are below it.
 const expectedFactor = 3
 
+// tooLate refusals end a call: a second pool would get it with less time left.
+const tooLate = "deadline cannot be met"
+
 const ms = time.Millisecond
 
 // holder is the holder side of one pool.
@@ -147,7 +150,7 @@
 		return
 	}
 	for _, it := range h.queue.Expire(h.w.now, expectedFactor*h.mean) {
-		h.refuse(it, "deadline cannot be met")
+		h.refuse(it, tooLate)
 	}
 	for h.queue.Len() > 0 {
 		g, ok := h.pool.Acquire(h.w.now)
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -236,7 +236,7 @@
 
 func (w *World) receive(h *holder, c *Call, kind outcome.Kind, why string) {
 	switch {
-	case kind == outcome.NotRun && w.now.Before(c.deadline):
+	case kind == outcome.NotRun && w.now.Before(c.deadline) && why != tooLate:
 		c.excluded = append(c.excluded, h.id)
 		w.dispatch(c)
 	case kind == outcome.Unknown && !c.NonIdempotent && w.now.Before(c.deadline) && w.mayRetry(c):
