--- a/internal/experiment/holder.go
+++ b/internal/experiment/holder.go
@@ -18,6 +18,13 @@
 // meanWeight is the weight of one call in the mean latency of a holder.
 const meanWeight = 0.02
 
+// expectedFactor times the mean latency is what a call is expected to take at
+// most: 95 % of exponential service times are below it.
+const expectedFactor = 3
+
+// tooLate refusals end a call: a second pool would get it with less time left.
+const tooLate = "deadline cannot be met"
+
 const ms = time.Millisecond
 
 // holder is the holder side of one pool.
@@ -142,8 +149,8 @@
 	if h.next != nil || h.dead {
 		return
 	}
-	for _, it := range h.queue.Expire(h.w.now, h.mean) {
-		h.refuse(it, "deadline cannot be met")
+	for _, it := range h.queue.Expire(h.w.now, expectedFactor*h.mean) {
+		h.refuse(it, tooLate)
 	}
 	for h.queue.Len() > 0 {
 		g, ok := h.pool.Acquire(h.w.now)
