--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -22,6 +22,12 @@
 	"goldcresthinge.example/goldcresthinge/internal/pool"
 )
 
+// expectedCalls is the time, in mean latencies, that a call must have left when
+// it gets its slot. Less lets calls start that end after their deadline: with a
+// deadline of 100 ms and work of 20 ms, three instead of one raised the useful
+// share of the capacity in a herd from 0.74 to 0.80.
+const expectedCalls = 3
+
 // held is one pool with its queue.
 type held struct {
 	holder *Holder
@@ -144,7 +150,7 @@
 // serveQueue gives free slots to queued calls and refuses those that cannot
 // meet their deadline. The lock is held.
 func (e *held) serveQueue(now time.Time) {
-	for _, it := range e.queue.Expire(now, e.latency) {
+	for _, it := range e.queue.Expire(now, expectedCalls*e.latency) {
 		e.finish(it.ID, wakeup{err: e.busy(outcome.ReasonDeadline)})
 	}
 	for e.queue.Len() > 0 && !e.exported {
