load: measure what control costs per entry VM

Cause: the limits of 2.3 % of a core, 256 MB and 2 KB/s per node for control need a measurement of whole daemons. Ruled out: counting messages of fakes only, which misses framing, keep-alives and HTTP headers. Change: subcommand fleet: N daemons in one process without calls, bytes counted on every connection, processor time, memory, time of a change until it is in force everywhere.

--- a/cmd/goldcresthinge-load/factory.go
+++ b/cmd/goldcresthinge-load/factory.go
@@ -41,8 +41,9 @@
 		StartEntryVM: func(ctx context.Context, spec load.EntryVMSpec) (load.EntryVM, error) {
 			return startEntryVM(ctx, spec, logs)
 		},
-		Apply: apply,
-		Ready: ready,
+		Apply:   apply,
+		Ready:   ready,
+		Version: version,
 	}
 }
 
@@ -83,6 +84,14 @@
 	return err == nil
 }
 
+func version(ctx context.Context, spec load.EntryVMSpec) uint64 {
+	var current operator.Document
+	if _, err := request(ctx, http.MethodGet, "http://"+spec.OperatorAddress+"/v1/config", nil, &current); err != nil {
+		return 0
+	}
+	return current.Version
+}
+
 func request(ctx context.Context, method, url string, body []byte, into any) (int, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
--- a/internal/load/program.go
+++ b/internal/load/program.go
@@ -26,8 +26,9 @@
 }
 
 type arguments struct {
-	Run  *RunCommand  `arg:"subcommand:run" help:"run a scenario"`
-	Demo *DemoCommand `arg:"subcommand:demo" help:"both regions, callers that wake together, a failure domain out and back; under a minute"`
+	Fleet *FleetCommand `arg:"subcommand:fleet" help:"measure what control costs per entry VM, without calls"`
+	Run   *RunCommand   `arg:"subcommand:run" help:"run a scenario"`
+	Demo  *DemoCommand  `arg:"subcommand:demo" help:"both regions, callers that wake together, a failure domain out and back; under a minute"`
 }
 
 // ErrGuarantee means that a run showed a broken guarantee.
@@ -50,6 +51,11 @@
 		return merry.Prepend(err, "arguments")
 	}
 	switch {
+	case a.Fleet != nil:
+		if f.StartEntryVM == nil {
+			return merry.New("this build has no entry VMs")
+		}
+		return runFleet(ctx, a.Fleet, stdout, f)
 	case a.Demo != nil:
 		a.Run = &RunCommand{Scenario: "demo", Seed: a.Demo.Seed, Out: a.Demo.Out}
 	case a.Run == nil:
--- a/internal/load/system.go
+++ b/internal/load/system.go
@@ -53,6 +53,8 @@
 	// Ready reports whether an entry VM takes calls. Nil: a VM is ready when
 	// StartEntryVM returns.
 	Ready func(ctx context.Context, vm EntryVMSpec) bool
+	// Version returns the configuration version in force at an entry VM, or 0.
+	Version func(ctx context.Context, vm EntryVMSpec) uint64
 }
 
 // runningVM is an entry VM with the address that callers use.
