Shrink heartbeats and spread pools at a common start

With 50 VMs and 800 pools the first of several VMs that started together took all pools of its failure domain, and handovers at one per second kept the digests apart, so all VMs scanned every second.

Ruled out: exchanges started by one side only, since each holder counts statements from its own request.

Change: heartbeats to a sibling that knows the sender leave out region, failure domain and address; the digest has 32 bits. A VM counts as a successor 1.5 s before its grace ends. A VM of another region counts as alive for 100 s without news.

--- a/internal/lease/control_test.go
+++ b/internal/lease/control_test.go
@@ -20,7 +20,7 @@
 					ctx := context.Background()
 					f := newFleet(b, size.vms, pools, size.regions, size.domains, loads)
 					defer f.stop()
-					f.run(ctx, 40*time.Second)
+					f.run(ctx, 90*time.Second)
 					for range b.N {
 						reads, writes, rowBytes, sent, cpu := f.store.reads, f.store.writes, f.store.readBytes, f.bytes.Load(), processorTime(b)
 						f.run(ctx, 30*time.Second)
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -245,7 +245,8 @@
 func (k *Keeper) Siblings() []vm.Info { return k.view.Load().siblings }
 
 // Alive reports whether the lease of an incarnation may still run. It returns
-// false for an incarnation that is not known.
+// false for an incarnation that is not known. The end of a lease of another
+// region is known only after up to 100 s.
 func (k *Keeper) Alive(id vm.ID, incarnation uint64) bool {
 	return k.view.Load().alive(k.cfg.Clock.Now(), k.cfg.Self.ID, id, incarnation)
 }
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -92,10 +92,10 @@
 	return vm.Preferred(vms, id.String())
 }
 
-// takeoverCandidates prefers VMs past their grace, since the others may take
-// nothing over yet.
+// takeoverCandidates prefers VMs that are past their grace or soon will be,
+// since the others may take nothing over yet.
 func (c *core) takeoverCandidates(now time.Time) []vm.Info {
-	if vms := c.live(now, graceAge); len(vms) > 0 {
+	if vms := c.live(now, candidateAge); len(vms) > 0 {
 		return vms
 	}
 	return c.live(now, 0)
--- a/internal/lease/rows.go
+++ b/internal/lease/rows.go
@@ -101,7 +101,8 @@
 	return b
 }
 
-// digest hashes holders and epochs of all rows, independent of their order.
+// digest hashes holders and epochs of all rows, independent of their order. It
+// has 32 bits to save bytes: a collision only delays the next scan.
 func digest(rows map[string]domainRow) uint64 {
 	var sum uint64
 	for domain, d := range rows {
@@ -112,7 +113,7 @@
 			sum += h.Sum64()
 		}
 	}
-	return sum
+	return sum & (1<<32 - 1)
 }
 
 func writeAll(h hash.Hash, parts ...string) {
--- a/internal/lease/session_test.go
+++ b/internal/lease/session_test.go
@@ -121,6 +121,16 @@
 		s.start("a2", "a")
 		s.runTo(90 * time.Second)
 	}},
+	{"domain-lost-most", "a survivor of most VMs of a region waits for the dead although the platform's list no longer has them", func(s *sim) {
+		startAll(s, "a", "a", "a", "a", "b")
+		for _, id := range []vm.ID{"a1", "a2", "a3", "a4"} {
+			s.kill(id)
+		}
+		s.runTo(30 * time.Second)
+		s.say("-- the list of VMs no longer has a1 to a4")
+		s.vms["b1"].gone = func(id vm.ID) bool { return id != "b1" }
+		s.runTo(60 * time.Second)
+	}},
 	{"domain-cut", "the VMs of a failure domain cut off from the store and the rest serve in full beside their successors", func(s *sim) {
 		startAll(s, "a", "a", "a", "b", "b")
 		inA := []vm.ID{"a1", "a2", "a3"}
--- a/internal/lease/timing.go
+++ b/internal/lease/timing.go
@@ -29,6 +29,10 @@
 	// graceAge is how long a VM that registered or was isolated takes over no
 	// pool without handover.
 	graceAge = 5 * time.Second
+	// candidateAge is the age of a registration from which a VM counts as a
+	// successor. It is below graceAge, because the others see a registration
+	// later; else the first of several VMs that start together takes all pools.
+	candidateAge = graceAge - 1500*time.Millisecond
 	// returnGrace follows a renewal after the end of the lease: the other VMs
 	// of an outage get time to renew before one of them takes their pools.
 	returnGrace = 2 * time.Second
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -16,12 +16,13 @@
 	holders  map[inventory.PoolID]vm.Info
 	held     map[inventory.PoolID]uint64
 	counters map[vm.ID]seen
+	far      map[vm.ID]bool // VMs of other regions in counters
 }
 
 func (c *core) buildView() *view {
 	v := &view{
 		holders: map[inventory.PoolID]vm.Info{}, held: make(map[inventory.PoolID]uint64, len(c.held)),
-		counters: map[vm.ID]seen{},
+		counters: map[vm.ID]seen{}, far: map[vm.ID]bool{},
 	}
 	for id, r := range c.vms {
 		if r.State == revoked && id != c.self.ID {
@@ -39,7 +40,7 @@
 	}
 	for id, r := range c.far {
 		v.siblings = append(v.siblings, r.info())
-		v.counters[id] = c.seen[id]
+		v.counters[id], v.far[id] = c.seen[id], true
 	}
 	for domain, d := range c.domains {
 		for service, a := range d.pools {
@@ -61,9 +62,17 @@
 	return v
 }
 
+// farAlive covers two scans of all regions with their jitter.
+const farAlive = 100 * time.Second
+
 // alive reports whether the lease of an incarnation may still run. The own
-// lease is alive while the VM is registered.
+// lease is alive while the VM is registered. For a VM of another region it is
+// known late, since its counter is read only every 30 s.
 func (v *view) alive(now time.Time, self vm.ID, id vm.ID, inc uint64) bool {
 	s, ok := v.counters[id]
-	return ok && s.incarnation == inc && (id == self || now.Sub(s.since) < evidenceAge)
+	age := evidenceAge
+	if v.far[id] {
+		age = farAlive
+	}
+	return ok && s.incarnation == inc && (id == self || now.Sub(s.since) < age)
 }
--- a/internal/membership/book.go
+++ b/internal/membership/book.go
@@ -45,6 +45,7 @@
 	Status
 	next     time.Time
 	busy     bool // an exchange is running
+	answered bool // the last exchange succeeded
 	hurried  bool // next was brought forward
 	known    time.Time
 	sentLoad map[inventory.PoolID]load
@@ -156,21 +157,32 @@
 	return out
 }
 
-// hear takes a heartbeat, request or answer, and returns its sender.
-func (b *book) hear(now time.Time, hb *siblingpb.Heartbeat) vm.Info {
+// hear takes a heartbeat, request or answer, and returns its sender. It
+// completes a short heartbeat; known is false if it can't.
+func (b *book) hear(now time.Time, hb *siblingpb.Heartbeat) (from vm.Info, known bool) {
+	if p, ok := b.peers[vm.ID(hb.VmId)]; ok && hb.Region == "" {
+		hb.Region, hb.FailureDomain, hb.SiblingAddress = p.Info.Region, p.Info.FailureDomain, p.Info.SiblingAddress
+	}
 	info := vm.Info{
 		ID: vm.ID(hb.VmId), Incarnation: hb.Incarnation, Region: hb.Region,
 		FailureDomain: hb.FailureDomain, SiblingAddress: hb.SiblingAddress,
 	}
-	if info.ID == b.self.ID || info.ID == "" {
-		return info
+	if info.ID == b.self.ID || info.ID == "" || info.Region == "" {
+		return info, false
 	}
 	p := b.get(now, info.ID)
 	p.Status = Status{
 		Info: info, LastHeard: now, StoreReachable: hb.StoreReachable,
 		Leaving: hb.Leaving, EpochDigest: hb.EpochDigest, ConfigVersion: hb.ConfigVersion,
 	}
-	return info
+	return info, true
+}
+
+// knowsUs reports that the last exchange with a sibling succeeded, so that it
+// knows the address of this VM.
+func (b *book) knowsUs(id vm.ID) bool {
+	p, ok := b.peers[id]
+	return ok && p.answered
 }
 
 // done ends an exchange. After a failure all counts are sent again.
@@ -179,7 +191,7 @@
 	if !known {
 		return
 	}
-	p.busy = false
+	p.busy, p.answered = false, ok
 	if !ok {
 		clear(p.sentLoad)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -19,7 +19,9 @@
 const (
 	tickEvery       = 50 * time.Millisecond
 	exchangeTimeout = 900 * time.Millisecond
-	workers         = 16
+	// workers exceeds the siblings of a VM, so that hanging exchanges do not
+	// delay those to other siblings.
+	workers = 32
 )
 
 // Lease is implemented by lease.Keeper.
@@ -41,7 +43,7 @@
 	Clock     quartz.Clock
 	Logger    log.Logger
 
-	Workers pond.Pool // runs exchanges; nil: a pool of 16
+	Workers pond.Pool // runs exchanges; nil: a pool of 32
 
 	// Version returns the configuration version in force and the age of its
 	// confirmation; ok is false without one.
@@ -141,6 +143,12 @@
 	wrote := t.cfg.Clock.Now()
 	hb := t.fill(wrote, to.ID)
 	sentAs := t.cfg.Lease.FillHeartbeat(hb)
+	t.mu.Lock()
+	short := t.book.knowsUs(to.ID)
+	t.mu.Unlock()
+	if short {
+		shorten(hb)
+	}
 	resp, err := t.cfg.Exchanger.Exchange(ctx, to, &siblingpb.Request{Kind: &siblingpb.Request_Heartbeat{Heartbeat: hb}})
 	if err != nil {
 		return // silence shows in LastHeard
@@ -150,8 +158,10 @@
 		_ = t.cfg.Logger.Log("part", "membership", "msg", "answer without heartbeat", "from", to.SiblingAddress)
 		return
 	}
+	if !t.hear(answer) {
+		return
+	}
 	ok = true
-	t.hear(answer)
 	t.cfg.Lease.HeartbeatAnswered(wrote, sentAs, answer)
 }
 
@@ -160,23 +170,41 @@
 	if req.GetVmId() == "" {
 		return nil, fmt.Errorf("heartbeat without VM id")
 	}
-	t.hear(req)
+	short := req.Region == ""
+	if !t.hear(req) {
+		return nil, fmt.Errorf("short heartbeat of unknown VM %q", req.VmId)
+	}
 	answer := t.fill(t.cfg.Clock.Now(), vm.ID(req.VmId))
 	t.cfg.Lease.AnswerHeartbeat(req, answer)
+	if short {
+		shorten(answer)
+	}
 	return answer, nil
 }
 
-func (t *Table) hear(hb *siblingpb.Heartbeat) {
+// shorten removes what the receiver knows from earlier heartbeats. It is about
+// half of the bytes.
+func shorten(hb *siblingpb.Heartbeat) {
+	hb.Region, hb.FailureDomain, hb.SiblingAddress = "", "", ""
+}
+
+// hear takes a heartbeat and completes a short one. It returns false if the
+// sender of a short one is not known.
+func (t *Table) hear(hb *siblingpb.Heartbeat) bool {
 	now := t.cfg.Clock.Now()
 	t.mu.Lock()
-	from := t.book.hear(now, hb)
+	from, known := t.book.hear(now, hb)
 	t.mu.Unlock()
+	if !known {
+		return false
+	}
 	if t.cfg.OnVersion != nil && hb.ConfigVersion != 0 && hb.ConfirmedAgeMs != neverConfirmed {
 		t.cfg.OnVersion(now, from, hb.ConfigVersion, time.Duration(hb.ConfirmedAgeMs)*time.Millisecond)
 	}
 	if t.cfg.OnLoads != nil && len(hb.Loads) > 0 {
 		t.cfg.OnLoads(now, from, hb.Loads)
 	}
+	return true
 }
 
 // fill writes the fields of a heartbeat that are not the lease's.
