lease, membership: take pools without a former holder after 1 s, confirm versions by answers only

A request of a sibling counted as a confirmation of the version, but a paused VM may read it long after it was written, and an unconfirmed higher version was not reported at all. Ruled out: no wait at all, since the first VM of a fleet would take all pools and hand them over again. Change: pools that never had a holder are taken 1 s after registration; while such pools exist a VM in its first 5 s scans every second. Only answers confirm, by the time of the own request.

--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -24,6 +24,9 @@
 	if !c.mayWrite(now) {
 		return
 	}
+	if !c.leaving && now.Before(c.graceUntil) && c.planFirst(now) {
+		return
+	}
 	if !c.leaving && !now.Before(c.graceUntil) && (c.planTakeover(now) || c.planCleanup(now)) {
 		return
 	}
@@ -101,6 +104,54 @@
 	return c.live(now, 0)
 }
 
+// planFirst takes pools that never had a holder. They have no former holder
+// that may still serve them, so only a short wait is needed, for the other VMs
+// of a fleet that starts to register.
+func (c *core) planFirst(now time.Time) bool {
+	if now.Sub(c.firstSeen[c.own.incarnation]) < firstAge {
+		return false
+	}
+	vms := c.live(now, 0)
+	for _, domain := range sortedKeys(c.pools) {
+		row := c.domains[domain]
+		changed := map[string]*siblingpb.Assignment{}
+		for _, id := range c.pools[domain] {
+			if row.pools[id.Service] != nil {
+				continue
+			}
+			if best, ok := preferred(vms, id); ok && best.ID == c.self.ID {
+				changed[id.Service] = c.assignment(id, 1)
+			}
+		}
+		if len(changed) > 0 {
+			c.commit(now, []platform.Op{{Key: poolsKey(c.self.Region, domain), Value: row.encode(changed), IfVersion: row.version}})
+			return true
+		}
+	}
+	return false
+}
+
+// hasNewPool reports whether a pool of the region never had a holder, as last
+// read.
+func (c *core) hasNewPool() bool {
+	for domain, ids := range c.pools {
+		row := c.domains[domain]
+		for _, id := range ids {
+			if row.pools[id.Service] == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// assignment returns the row entry that makes this VM the holder of a pool.
+func (c *core) assignment(id inventory.PoolID, epoch uint64) *siblingpb.Assignment {
+	return &siblingpb.Assignment{
+		Service: id.Service, VmId: string(c.self.ID), Incarnation: c.own.incarnation, Epoch: epoch,
+	}
+}
+
 // planTakeover takes all pools of one failure domain that hashing names this
 // VM for and that have no holder, in one transaction that also revokes the
 // leases of their expired holders.
@@ -116,7 +167,7 @@
 			if best, ok := preferred(vms, id); !free || !ok || best.ID != c.self.ID {
 				continue
 			}
-			next := &siblingpb.Assignment{Service: id.Service, VmId: string(c.self.ID), Incarnation: c.own.incarnation, Epoch: 1}
+			next := c.assignment(id, 1)
 			if a != nil {
 				next.Epoch = a.Epoch + 1
 				next.Prior = c.unresolved(a, dead)
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -56,8 +56,11 @@
 }
 
 // alert reports whether rows may have changed: a sibling is silent or its
-// digest differs.
+// digest differs, or a fleet is starting and pools have no holder yet.
 func (c *core) alert(now time.Time) bool {
+	if now.Before(c.graceUntil) && c.hasNewPool() {
+		return true
+	}
 	for _, r := range c.activeSiblings() {
 		id := vm.ID(r.VmId)
 		if now.Sub(c.lastHeard(id)) > silentAfter {
--- a/internal/lease/timing.go
+++ b/internal/lease/timing.go
@@ -29,6 +29,9 @@
 	// graceAge is how long a VM that registered or was isolated takes over no
 	// pool without handover.
 	graceAge = 5 * time.Second
+	// firstAge is how long a VM that registered takes no pool that never had a
+	// holder.
+	firstAge = time.Second
 	// candidateAge is the age of a registration from which a VM counts as a
 	// successor. It is below graceAge, because the others see a registration
 	// later; else the first of several VMs that start together takes all pools.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -52,10 +52,16 @@
 	Loads func() []*siblingpb.PoolLoad
 	// OnVersion and OnLoads take news of siblings. They run on the goroutine
 	// of the exchange, under no lock.
+	// confirmedAge is NotConfirmed unless the sibling stated it in an answer;
+	// now is the time at which this VM wrote the request for it.
 	OnVersion func(now time.Time, from vm.Info, version uint64, confirmedAge time.Duration)
 	OnLoads   func(now time.Time, from vm.Info, loads []*siblingpb.PoolLoad)
 }
 
+// NotConfirmed is the age of a configuration version that its VM has not
+// confirmed.
+const NotConfirmed time.Duration = -1
+
 // neverConfirmed is the age in a heartbeat without a confirmation.
 const neverConfirmed = ^uint32(0)
 
@@ -158,7 +164,7 @@
 		_ = t.cfg.Logger.Log("part", "membership", "msg", "answer without heartbeat", "from", to.SiblingAddress)
 		return
 	}
-	if !t.hear(answer) {
+	if !t.hear(answer, wrote, confirmedAge(answer)) {
 		return
 	}
 	ok = true
@@ -171,7 +177,9 @@
 		return nil, fmt.Errorf("heartbeat without VM id")
 	}
 	short := req.Region == ""
-	if !t.hear(req) {
+	// A paused VM may read a request that was written long ago, so the age that
+	// a request states confirms nothing.
+	if !t.hear(req, t.cfg.Clock.Now(), NotConfirmed) {
 		return nil, fmt.Errorf("short heartbeat of unknown VM %q", req.VmId)
 	}
 	answer := t.fill(t.cfg.Clock.Now(), vm.ID(req.VmId))
@@ -190,7 +198,9 @@
 
 // hear takes a heartbeat and completes a short one. It returns false if the
 // sender of a short one is not known.
-func (t *Table) hear(hb *siblingpb.Heartbeat) bool {
+// hear takes the news of a sibling. age is that of its confirmation at the time
+// at.
+func (t *Table) hear(hb *siblingpb.Heartbeat, at time.Time, age time.Duration) bool {
 	now := t.cfg.Clock.Now()
 	t.mu.Lock()
 	from, known := t.book.hear(now, hb)
@@ -198,8 +208,8 @@
 	if !known {
 		return false
 	}
-	if t.cfg.OnVersion != nil && hb.ConfigVersion != 0 && hb.ConfirmedAgeMs != neverConfirmed {
-		t.cfg.OnVersion(now, from, hb.ConfigVersion, time.Duration(hb.ConfirmedAgeMs)*time.Millisecond)
+	if t.cfg.OnVersion != nil && hb.ConfigVersion != 0 {
+		t.cfg.OnVersion(at, from, hb.ConfigVersion, age)
 	}
 	if t.cfg.OnLoads != nil && len(hb.Loads) > 0 {
 		t.cfg.OnLoads(now, from, hb.Loads)
@@ -207,6 +217,14 @@
 	return true
 }
 
+// confirmedAge returns the age of the confirmation that hb states.
+func confirmedAge(hb *siblingpb.Heartbeat) time.Duration {
+	if hb.ConfirmedAgeMs == neverConfirmed {
+		return NotConfirmed
+	}
+	return time.Duration(hb.ConfirmedAgeMs) * time.Millisecond
+}
+
 // fill writes the fields of a heartbeat that are not the lease's.
 func (t *Table) fill(now time.Time, to vm.ID) *siblingpb.Heartbeat {
 	hb := &siblingpb.Heartbeat{ConfirmedAgeMs: neverConfirmed}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -202,3 +202,22 @@
 		t.Error("a heartbeat without VM id is accepted")
 	}
 }
+
+// Guards against a paused VM that takes the age in an old request as a fresh
+// confirmation of its own old version.
+func TestRequestConfirmsNothing(t *testing.T) {
+	clock := quartz.NewMock(t).WithLogger(quartz.NoOpLogger)
+	peer := sibling("r", 1)
+	var age time.Duration
+	table := NewTable(Config{
+		Self: self, Lease: &oneLease{self: self, siblings: []vm.Info{peer}}, Clock: clock, Logger: log.NewNopLogger(),
+		OnVersion: func(_ time.Time, _ vm.Info, _ uint64, a time.Duration) { age = a },
+	})
+	_, err := table.Handle(context.Background(), &siblingpb.Heartbeat{
+		VmId: string(peer.ID), Incarnation: 1, Region: peer.Region, FailureDomain: peer.FailureDomain,
+		SiblingAddress: peer.SiblingAddress, ConfigVersion: 5, ConfirmedAgeMs: 100,
+	})
+	if err != nil || age != NotConfirmed {
+		t.Errorf("age %v, error %v", age, err)
+	}
+}
--- a/internal/rollout/progress.go
+++ b/internal/rollout/progress.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"goldcresthinge.example/goldcresthinge/internal/membership"
+
 	"github.com/samber/lo"
 
 	"goldcresthinge.example/goldcresthinge/internal/vm"
@@ -30,7 +32,7 @@
 )
 
 // NotConfirmed is the age of a sibling that has no confirmation.
-const NotConfirmed time.Duration = -1
+const NotConfirmed = membership.NotConfirmed
 
 // progress is what this VM knows about versions. It is not safe for concurrent
 // use.
