--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,15 +90,16 @@
 	siblings  *sibling.Server
 	addresses addresses
 
-	cancel   context.CancelFunc
-	loops    sync.WaitGroup
-	draining atomic.Bool
-	closing  atomic.Bool // refuses new forwards
-	forwards atomic.Int64
-	stopOnce sync.Once
-	stopped  chan struct{}
-	refresh  chan struct{} // asks for new candidate lists
-	previous *inventory.Snapshot
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
+	draining  atomic.Bool
+	sawHolder atomic.Bool // a pool of the region had a holder once
+	closing   atomic.Bool // refuses new forwards
+	forwards  atomic.Int64
+	stopOnce  sync.Once
+	stopped   chan struct{}
+	refresh   chan struct{} // asks for new candidate lists
+	previous  *inventory.Snapshot
 }
 
 type addresses struct {
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -16,6 +16,9 @@
 	if d.draining.Load() {
 		reasons = append(reasons, "draining")
 	}
+	if !d.sawHolder.Load() && !d.seeHolder(now) {
+		reasons = append(reasons, "no pool of the region has a holder yet")
+	}
 	mode := d.keeper.Mode(now)
 	_, reachable := d.config.Confirmed(now)
 	return operator.ProcessStatus{
@@ -32,6 +35,17 @@
 	}
 }
 
+// seeHolder reports whether any pool of the region has a holder. Until a VM has
+// seen one, callers do better elsewhere; later on it is left to the refusals.
+func (d *Daemon) seeHolder(now time.Time) bool {
+	holders := d.Holders(now)
+	seen := len(holders) == 0 || lo.ContainsBy(holders, func(h operator.Holder) bool { return h.Holder != "" })
+	if seen && d.config.Current() != nil {
+		d.sawHolder.Store(true)
+	}
+	return seen
+}
+
 // Targets implements operator.Process.
 func (d *Daemon) Targets(now time.Time) []operator.Target {
 	return lo.Map(d.holder.Describe(now), func(t operator.Target, _ int) operator.Target {
