sibling: reuse streams for forwards

Cause: every forward opened and closed a yamux stream. That cost two 4 KB read buffers, the stream objects, the frames of open and close, a close timer, two goroutines and several system calls per call.

Change: the client keeps up to 64 idle streams per sibling, last used first. A stream is reused only if the answer was read to its last chunk (or was a refusal, which has no chunks), nothing follows it, and the caller's context had not ended. In every other case it is closed. Each forward has a number on its stream that head and chunks must repeat; a different number ends the call as unknown. The holder reads on while a call runs, so it still notices at once when the caller leaves, and it runs no forward that comes before the answer to the one before. A second Close of a body no longer touches the stream, and a Read after Close fails. Messages are encoded into a buffer that the stream keeps. A canceled call also expires the read, since yamux lets a blocked read go on after a local Close.

A write error stays unknown, also on a reused stream. The holder never closes a stream after a whole answer except with its session.

Ruled out: telling NotRun from the error of yamux on a closed idle stream. A close by the sibling does not stop a write there, so it is not certain that the message stayed here.

--- a/internal/sibling/client.go
+++ b/internal/sibling/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -49,6 +48,8 @@
 	mu        sync.Mutex
 	mux       *yamux.Session
 	lastError time.Time
+
+	idle idleStreams
 }
 
 // Dialer opens a TCP connection.
@@ -80,7 +81,7 @@
 
 // Exchange implements membership.Exchanger.
 func (c *Client) Exchange(ctx context.Context, to vm.Info, req *siblingpb.Request) (*siblingpb.Response, error) {
-	st, err := c.open(ctx, to.SiblingAddress)
+	st, err := c.open(ctx, to.SiblingAddress, false)
 	if err != nil {
 		return nil, fmt.Errorf("open stream to %s: %w", to.ID, err)
 	}
@@ -101,21 +102,29 @@
 // if the message did not leave or the sibling says so, Unknown otherwise. The
 // caller must close the answer's body.
 func (c *Client) Forward(ctx context.Context, to vm.Info, fwd *call.Call) (*call.Answer, error) {
-	st, err := c.open(ctx, to.SiblingAddress)
+	st, err := c.open(ctx, to.SiblingAddress, true)
 	if err != nil {
 		return nil, &outcome.Error{
 			Kind: outcome.NotRun, Reason: outcome.ReasonSiblingLost,
 			Status: http.StatusServiceUnavailable, Detail: err.Error(),
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = st.Close() })
-	abort := func(e *outcome.Error) (*call.Answer, error) {
-		stop()
+	ex := &exchange{st: st}
+	_ = st.SetDeadline(fwd.Deadline)
+	// yamux lets a blocked read go on after Close; the deadline ends it.
+	ex.stop = context.AfterFunc(ctx, func() {
+		_ = st.SetDeadline(time.Unix(1, 0))
 		_ = st.Close()
+	})
+	abort := func(e *outcome.Error) (*call.Answer, error) {
+		ex.end(false)
 		return nil, e
 	}
-	_ = st.SetDeadline(fwd.Deadline)
-	req := &siblingpb.Request{Kind: &siblingpb.Request_Forward{Forward: EncodeCall(time.Now(), fwd)}}
+	st.exchange++
+	req := &siblingpb.Request{
+		Kind:     &siblingpb.Request_Forward{Forward: EncodeCall(time.Now(), fwd)},
+		Exchange: st.exchange,
+	}
 	if err := st.write(req); err != nil {
 		return abort(outcome.Uncertain(outcome.ReasonSiblingLost, "write: "+err.Error()))
 	}
@@ -123,6 +132,9 @@
 	if err := st.read(resp); err != nil {
 		return abort(lostAnswer(ctx, err))
 	}
+	if resp.GetExchange() != st.exchange {
+		return abort(outcome.Uncertain(outcome.ReasonCrossed, "sibling returned the answer of another call"))
+	}
 	head := resp.GetForward()
 	if head == nil {
 		return abort(outcome.Uncertain(outcome.ReasonBadAnswer, "sibling returned another message"))
@@ -131,12 +143,13 @@
 		c.observe(load)
 	}
 	if e := decodeError(head); e != nil {
-		return abort(e)
+		ex.end(true) // a refusal has no chunks
+		return nil, e
 	}
 	return &call.Answer{
 		Status: int(head.GetStatus()),
 		Header: headerFromProto(head.GetHeader()),
-		Body:   &chunkReader{st: st, stop: stop},
+		Body:   &chunkReader{ex: ex},
 		Length: head.GetLength(),
 	}, nil
 }
@@ -148,7 +161,9 @@
 	return outcome.Uncertain(outcome.ReasonSiblingLost, "read: "+err.Error())
 }
 
-func (c *Client) open(ctx context.Context, address string) (*stream, error) {
+// open returns a stream to address. With reuse it may be an idle one, and it is
+// kept for reuse after its exchange.
+func (c *Client) open(ctx context.Context, address string, reuse bool) (*stream, error) {
 	s, err := c.session(address)
 	if err != nil {
 		return nil, err
@@ -157,12 +172,19 @@
 	if err != nil {
 		return nil, err
 	}
+	if reuse {
+		if st := s.idle.take(mux); st != nil {
+			return st, nil
+		}
+	}
 	conn, err := mux.OpenStream()
 	if err != nil {
 		s.drop(mux)
 		return nil, err
 	}
-	return newStream(conn), nil
+	st := newStream(conn)
+	st.mux, st.idle = mux, &s.idle
+	return st, nil
 }
 
 func (c *Client) session(address string) (*session, error) {
@@ -237,36 +259,3 @@
 	c.count(c.address, n, 0)
 	return n, err
 }
-
-// chunkReader reads the body of a forwarded answer. It returns io.EOF only
-// after the chunk that is marked as the last one.
-type chunkReader struct {
-	st   *stream
-	stop func() bool
-	data []byte
-	last bool
-}
-
-// Read implements io.Reader.
-func (r *chunkReader) Read(p []byte) (int, error) {
-	for len(r.data) == 0 {
-		if r.last {
-			return 0, io.EOF
-		}
-		chunk := &siblingpb.Chunk{}
-		if err := r.st.read(chunk); err != nil {
-			return 0, fmt.Errorf("answer of sibling ended early: %w", io.ErrUnexpectedEOF)
-		}
-		r.data, r.last = chunk.GetData(), chunk.GetLast()
-	}
-	n := copy(p, r.data)
-	r.data = r.data[n:]
-	return n, nil
-}
-
-// Close implements io.Closer. Closing early tells the holder that the caller
-// no longer waits.
-func (r *chunkReader) Close() error {
-	r.stop()
-	return r.st.Close()
-}
--- a/internal/sibling/codec.go
+++ b/internal/sibling/codec.go
@@ -1,13 +1,12 @@
 package sibling
 
 import (
-	"bytes"
 	"fmt"
 	"math"
 	"net/http"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"goldcresthinge.example/goldcresthinge/api/siblingpb"
@@ -15,12 +14,14 @@
 	"goldcresthinge.example/goldcresthinge/internal/outcome"
 )
 
+// appendDelimited appends the length of m and m itself to buf.
 func appendDelimited(buf []byte, m proto.Message) ([]byte, error) {
-	w := bytes.NewBuffer(buf)
-	if _, err := protodelim.MarshalTo(w, m); err != nil {
+	buf = protowire.AppendVarint(buf, uint64(proto.Size(m)))
+	buf, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, m)
+	if err != nil {
 		return nil, fmt.Errorf("encode message: %w", err)
 	}
-	return w.Bytes(), nil
+	return buf, nil
 }
 
 func headerToProto(h http.Header) []*siblingpb.HeaderField {
--- a/internal/sibling/forward_test.go
+++ b/internal/sibling/forward_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -31,6 +32,20 @@
 	return n, err
 }
 
+// lateErrorConn reports a failure of writes that the sibling received.
+type lateErrorConn struct {
+	net.Conn
+	broken atomic.Bool
+}
+
+func (c *lateErrorConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if c.broken.Load() {
+		return n, io.ErrClosedPipe
+	}
+	return n, err
+}
+
 type fakeHolder struct {
 	forward func(ctx context.Context, c *call.Call) (*call.Answer, error)
 }
@@ -124,6 +139,27 @@
 		Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
 	})
 
+	// Guards against calling a call not run when its message left before the
+	// connection failed.
+	It("reports unknown when the write fails", func() {
+		conn := &lateErrorConn{}
+		failing := sibling.NewClient(nil, nil, func(ctx context.Context, network, address string) (net.Conn, error) {
+			var err error
+			conn.Conn, err = (&net.Dialer{}).DialContext(ctx, network, address)
+			return conn, err
+		})
+		DeferCleanup(failing.Close)
+		holder.forward = func(context.Context, *call.Call) (*call.Answer, error) {
+			return nil, outcome.Busy(outcome.ReasonQueueFull, 0)
+		}
+		fwd := &call.Call{Service: "s", Deadline: time.Now().Add(time.Minute)}
+		_, err := failing.Forward(context.Background(), to, fwd)
+		Expect(outcome.FromError(err).Reason).To(Equal(outcome.ReasonQueueFull))
+		conn.broken.Store(true)
+		_, err = failing.Forward(context.Background(), to, fwd)
+		Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
+	})
+
 	It("reports not run when the sibling cannot be reached", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/sibling/server.go
+++ b/internal/sibling/server.go
@@ -118,38 +118,72 @@
 	_ = level.Debug(s.logger).Log("msg", "session ended", "remote", remote)
 }
 
+// serveStream answers the exchanges of one stream. It goes on reading while a
+// forward runs: the end of the sibling's side means that it no longer waits.
 func (s *Server) serveStream(st *stream) {
 	defer func() { _ = st.Close() }()
-	req := &siblingpb.Request{}
-	if err := st.read(req); err != nil {
-		return
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if f := req.GetForward(); f != nil {
-		// The sibling sends nothing after its request; the end of its side
-		// means that it no longer waits.
-		go func() {
-			_, _ = io.Copy(io.Discard, st.r)
+	forwards := make(chan *siblingpb.Request, 1)
+	var worker sync.WaitGroup
+	defer worker.Wait()
+	defer close(forwards)
+	for first := true; ; first = false {
+		req := &siblingpb.Request{}
+		if err := st.read(req); err != nil {
+			cancel()
+			return
+		}
+		if req.GetForward() == nil {
+			if first {
+				if resp := s.handler.HandleControl(ctx, req); resp != nil {
+					_ = st.write(resp)
+				}
+			}
+			cancel()
+			return
+		}
+		if len(req.GetForward().GetBody()) > maxKeptBuffer {
+			st.shrink()
+		}
+		if first {
+			worker.Go(func() { s.serveForwards(ctx, st, forwards) })
+		}
+		select {
+		case forwards <- req:
+		default: // the sibling did not wait for the answer before
 			cancel()
-		}()
-		s.serveForward(ctx, st, DecodeCall(time.Now(), f))
-		return
+			return
+		}
 	}
-	if resp := s.handler.HandleControl(ctx, req); resp != nil {
-		_ = st.write(resp)
+}
+
+// serveForwards answers forwards one after another. It closes the stream after
+// an answer that did not end completely, so that the sibling does not take
+// messages of a later answer for the rest of it.
+func (s *Server) serveForwards(ctx context.Context, st *stream, forwards <-chan *siblingpb.Request) {
+	out := &answerWriter{st: st}
+	for req := range forwards {
+		if ctx.Err() != nil {
+			return
+		}
+		out.exchange = req.GetExchange()
+		if !s.serveForward(ctx, out, DecodeCall(time.Now(), req.GetForward())) {
+			_ = st.Close()
+			return
+		}
 	}
 }
 
-func (s *Server) serveForward(ctx context.Context, st *stream, c *call.Call) {
+// serveForward reports whether the answer was written to its end.
+func (s *Server) serveForward(ctx context.Context, out *answerWriter, c *call.Call) bool {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	answer, load, err := s.handler.HandleForward(ctx, c)
 	if err != nil {
 		head := encodeError(outcome.FromError(err))
 		head.Load = load
-		_ = st.write(forwardResponse(head))
-		return
+		return out.st.write(out.response(head)) == nil
 	}
 	defer func() { _ = answer.Body.Close() }()
 	head := &siblingpb.ForwardAnswer{
@@ -159,30 +193,40 @@
 		Length:  answer.Length,
 		Load:    load,
 	}
-	if err := writeAnswer(st, head, answer.Body); err != nil {
+	if err := out.write(head, answer.Body); err != nil {
 		_ = level.Debug(s.logger).Log("msg", "answer ended early", "service", c.Service, "err", err)
+		return false
 	}
+	return true
 }
 
-// writeAnswer sends the head together with the first chunk, which saves a
-// write for the many short answers. A body that ends in an error gets no last
-// chunk, so that the receiver sees a truncated answer.
-func writeAnswer(st *stream, head *siblingpb.ForwardAnswer, body io.Reader) error {
-	out, err := appendDelimited(nil, forwardResponse(head))
+// answerWriter writes the answers of one stream.
+type answerWriter struct {
+	st       *stream
+	exchange uint64
+	body     []byte // reused between answers
+}
+
+// write sends the head together with the first chunk, which saves a write for
+// the many short answers. A body that ends in an error gets no last chunk, so
+// that the receiver sees a truncated answer.
+func (w *answerWriter) write(head *siblingpb.ForwardAnswer, body io.Reader) error {
+	out, err := appendDelimited(w.st.out[:0], w.response(head))
 	if err != nil {
 		return err
 	}
-	buf := make([]byte, bufferSize(head.GetLength()))
+	buf := w.buffer(head.GetLength())
 	for {
 		n, readErr := body.Read(buf)
 		last := errors.Is(readErr, io.EOF)
 		if n > 0 || last {
-			chunk := &siblingpb.Chunk{Data: buf[:n], Last: last}
+			chunk := &siblingpb.Chunk{Data: buf[:n], Last: last, Exchange: w.exchange}
 			if out, err = appendDelimited(out, chunk); err != nil {
 				return err
 			}
 		}
-		if _, err := st.Write(out); err != nil {
+		w.st.keep(out)
+		if _, err := w.st.Write(out); err != nil {
 			return err
 		}
 		if last {
@@ -195,15 +239,22 @@
 	}
 }
 
-// bufferSize returns the size of the read buffer for a body of the declared
-// length; -1 stands for an unknown length.
-func bufferSize(length int64) int {
+// buffer returns a read buffer for a body of the declared length; -1 stands
+// for an unknown length. Only small ones are kept for the next answer.
+func (w *answerWriter) buffer(length int64) []byte {
 	if length < 0 || length > chunkSize {
-		return chunkSize
+		return make([]byte, chunkSize)
+	}
+	size := int(length) + 1
+	if size > cap(w.body) {
+		if size > maxKeptBuffer {
+			return make([]byte, size)
+		}
+		w.body = make([]byte, size)
 	}
-	return int(length) + 1
+	return w.body[:size]
 }
 
-func forwardResponse(head *siblingpb.ForwardAnswer) *siblingpb.Response {
-	return &siblingpb.Response{Kind: &siblingpb.Response_Forward{Forward: head}}
+func (w *answerWriter) response(head *siblingpb.ForwardAnswer) *siblingpb.Response {
+	return &siblingpb.Response{Kind: &siblingpb.Response_Forward{Forward: head}, Exchange: w.exchange}
 }
--- a/internal/sibling/session.go
+++ b/internal/sibling/session.go
@@ -1,6 +1,6 @@
 // Package sibling carries forwards and control messages between entry VMs:
-// one yamux session per direction and pair, one stream per exchange, protobuf
-// messages with a length prefix.
+// one yamux session per direction and pair, protobuf messages with a length
+// prefix. Streams of forwards are reused after exchanges that ended completely.
 package sibling
 
 import (
@@ -21,6 +21,7 @@
 	acceptBacklog     = 1024      // streams a sibling may open ahead
 	maxMessageSize    = 4 << 20   // bytes
 	chunkSize         = 32 << 10  // bytes
+	maxKeptBuffer     = 8 << 10   // bytes an idle stream holds for its next message
 	// maxStreamsPerSibling bounds the exchanges that one sibling may have open,
 	// so that a paused holder cannot use up the memory of its siblings.
 	maxStreamsPerSibling = 4096
@@ -38,10 +39,18 @@
 	return c
 }
 
-// stream reads and writes length-delimited messages.
+// stream reads and writes length-delimited messages. One goroutine may read
+// while another writes.
 type stream struct {
 	net.Conn
-	r *bufio.Reader
+	r   *bufio.Reader
+	out []byte // reused by write
+
+	// The opener of the stream alone uses the following fields.
+	mux       *yamux.Session
+	idle      *idleStreams
+	exchange  uint64 // number of the latest exchange
+	idleSince time.Time
 }
 
 func newStream(conn net.Conn) *stream {
@@ -55,10 +64,27 @@
 // write sends m in a single write, so that a failure before it leaves no
 // partial message at the sibling.
 func (s *stream) write(m proto.Message) error {
-	buf, err := appendDelimited(nil, m)
+	buf, err := appendDelimited(s.out[:0], m)
 	if err != nil {
 		return err
 	}
+	s.keep(buf)
 	_, err = s.Write(buf)
 	return err
 }
+
+// keep makes buf the buffer of later messages unless it is too large to hold
+// for an idle stream. yamux keeps no reference to it after Write.
+func (s *stream) keep(buf []byte) {
+	if cap(buf) <= maxKeptBuffer {
+		s.out = buf
+	}
+}
+
+// shrink releases the receive buffer of yamux, which otherwise stays as large
+// as the most that ever waited in it.
+func (s *stream) shrink() {
+	if conn, ok := s.Conn.(*yamux.Stream); ok {
+		conn.Shrink()
+	}
+}
