--- a/internal/lease/own.go
+++ b/internal/lease/own.go
@@ -11,9 +11,8 @@
 
 // attempt is a write of the own lease row that may have taken effect.
 type attempt struct {
-	row       *siblingpb.LeaseRow
-	sent      time.Time
-	uncertain bool
+	row  *siblingpb.LeaseRow
+	sent time.Time
 }
 
 // ownLease is the state of the own lease row.
@@ -140,7 +139,6 @@
 		c.storeFailed()
 		o.next = now.Add(c.jitter(RenewEvery))
 	default:
-		o.tries[last].uncertain = true
 		o.unsettled = true
 		c.storeFailed()
 		o.next = now.Add(c.jitter(RenewEvery / 4))
--- a/internal/lease/session_test.go
+++ b/internal/lease/session_test.go
@@ -72,6 +72,19 @@
 		s.setStore(storeOK, "a1", "a2")
 		s.runTo(70 * time.Second)
 	}},
+	{"successor-dies", "a second successor forgets that the holder before the first one may be in full mode", func(s *sim) {
+		ids := startAll(s, "a", "a", "a", "b", "b")
+		s.setStore(storeDown, "a1", "a2", "a3", "b2")
+		s.isolate("b1", ids, true)
+		s.runTo(35 * time.Second)
+		s.kill("b1")
+		s.isolate("a4", ids, true)
+		s.start("a4", "a")
+		s.runTo(60 * time.Second)
+		s.isolate("a4", ids, false)
+		s.setStore(storeOK, "a1", "a2", "a3", "b2")
+		s.runTo(75 * time.Second)
+	}},
 	{"answer-lost-registration", "a lost answer to the registration leaves a VM without a lease or with two", func(s *sim) {
 		s.start("a1", "a")
 		s.runTo(50 * time.Millisecond)
