lease: show the epoch of pools that other VMs hold

Cause: goldcresthingectl holders showed epoch 0 for pools of other VMs. Change: the view keeps the epoch of each holder.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -64,20 +64,20 @@
 	for _, svc := range snap.Document.Services {
 		for _, id := range snap.Pools(svc.Name) {
 			if snap.RegionOf(id.FailureDomain) == d.settings.Region {
-				out = append(out, d.describeHolder(now, id))
+				out = append(out, d.describeHolder(id))
 			}
 		}
 	}
 	return out
 }
 
-func (d *Daemon) describeHolder(_ time.Time, id inventory.PoolID) operator.Holder {
+func (d *Daemon) describeHolder(id inventory.PoolID) operator.Holder {
 	h := operator.Holder{Service: id.Service, FailureDomain: id.FailureDomain}
 	if info, ok := d.keeper.HolderOf(id); ok {
 		h.Holder = string(info.ID)
+		h.Epoch = d.keeper.EpochOf(id)
 	}
 	if load := d.holder.Load(id); load != nil {
-		h.Epoch = load.GetEpoch()
 		h.Free = int(load.GetFree())
 		h.Waiting = int(load.GetWaiting())
 	}
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -14,14 +14,18 @@
 	members  []vm.Info // registered VMs of the region, this one included
 	siblings []vm.Info // other VMs with a lease row that is not released
 	holders  map[inventory.PoolID]vm.Info
+	epochs   map[inventory.PoolID]uint64 // of the holders
 	held     map[inventory.PoolID]uint64
 	counters map[vm.ID]seen
 	far      map[vm.ID]bool // VMs of other regions in counters
 }
 
+// EpochOf returns the epoch of the holder that HolderOf names, or 0.
+func (k *Keeper) EpochOf(id inventory.PoolID) uint64 { return k.view.Load().epochs[id] }
+
 func (c *core) buildView() *view {
 	v := &view{
-		holders: map[inventory.PoolID]vm.Info{}, held: make(map[inventory.PoolID]uint64, len(c.held)),
+		holders: map[inventory.PoolID]vm.Info{}, epochs: map[inventory.PoolID]uint64{}, held: make(map[inventory.PoolID]uint64, len(c.held)),
 		counters: map[vm.ID]seen{}, far: map[vm.ID]bool{},
 	}
 	for id, r := range c.vms {
@@ -49,7 +53,8 @@
 				continue
 			}
 			if _, isRevoked := c.noted[a.Incarnation]; !isRevoked {
-				v.holders[inventory.PoolID{Service: service, FailureDomain: domain}] = r.info()
+				id := inventory.PoolID{Service: service, FailureDomain: domain}
+				v.holders[id], v.epochs[id] = r.info(), a.Epoch
 			}
 		}
 	}
