holder: start a new pool with what the VM list says of its targets

Cause: the list of VMs was applied only to the pools that a VM held when it read the list. A VM that took a pool over sent calls to targets that had long been listed as leaving, until it read the list again: for up to 2 s, and without end while the list is not reachable.

Ruled out: a lag of the list. It had named the target 7 s before the holder was killed, and every VM reads it every 2 s.

Change: the holder keeps the last list and applies it to a pool before the pool gets its first call.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -64,8 +65,9 @@
 	cfg Config
 	log log.Logger
 
-	mu    sync.RWMutex
-	pools map[inventory.PoolID]*held
+	mu      sync.RWMutex
+	pools   map[inventory.PoolID]*held
+	leaving map[string]bool // addresses as the list of VMs last said
 }
 
 // New returns a Holder without pools.
@@ -97,6 +99,10 @@
 		svc:     svc,
 	}
 	h.mu.Lock()
+	// A target that has been leaving for long gets no call of a new holder.
+	for _, t := range targets {
+		st.SetLeaving(t.Name, h.leaving[t.Address])
+	}
 	old := h.pools[id]
 	h.pools[id] = entry
 	h.mu.Unlock()
@@ -184,9 +190,13 @@
 }
 
 // SetLeaving marks the targets with one of the addresses as leaving and all
-// others as staying, as the platform's list of VMs says.
+// others as staying, as the platform's list of VMs says. Pools that are taken
+// later start with it.
 func (h *Holder) SetLeaving(addresses map[string]bool) {
 	snap := h.cfg.Snapshot()
+	h.mu.Lock()
+	h.leaving = maps.Clone(addresses)
+	h.mu.Unlock()
 	for _, e := range h.all() {
 		e.with(func(time.Time) {
 			for _, t := range snap.Targets(e.id) {
