daemon: bound the wait for claims at a planned stop

Cause: with the store down, a VM that had ends of calls to store waited for them at a planned stop until the store came back or their 10 minutes had passed.

Ruled out: calls in progress and the handover of pools. The callers had all their answers, and the handover gives up after 10 s.

Change: the wait is 3 s. It follows the handover, which has shown whether the store responds. Keys whose end is not stored stay claimed, so that repeats of them get an unknown outcome and never run.

Conclusion: an outage of the store no longer holds up a planned stop.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -13,6 +13,11 @@
 	// releaseTimeout bounds the handover of pools at a planned stop. With the
 	// store down they cannot be handed over; the lease then expires.
 	releaseTimeout = 10 * time.Second
+	// claimsTimeout bounds the wait for claims whose end is not stored yet at a
+	// planned stop. The handover has just shown whether the store responds; if
+	// it does not, the VM must not stay until the outage ends. Keys whose end
+	// is not stored stay claimed, and repeats of them get an unknown outcome.
+	claimsTimeout = 3 * time.Second
 	// drainPoll is the interval at which calls in flight are counted.
 	drainPoll = 20 * time.Millisecond
 )
@@ -53,9 +58,11 @@
 	cancel()
 	d.closing.Store(true)
 	d.waitForForwards(ctx)
-	if err := d.ledger.Close(ctx); err != nil {
+	claimsCtx, cancel := context.WithTimeout(ctx, claimsTimeout)
+	if err := d.ledger.Close(claimsCtx); err != nil {
 		_ = level.Warn(d.log).Log("msg", "some claims are not settled and stay unknown", "err", err)
 	}
+	cancel()
 	d.cancel()
 	d.loops.Wait()
 	d.siblings.Close()
