platform: read the list of VMs only when it has changed

Cause: each VM read the whole list every 2 s; with 46 entries of about 80 bytes that is 1.8 KB/s of the 2 KB/s that control may cost, with 1,850 entries 75 KB/s. Ruled out: reading it less often, since a leaving target must get no new work after a few seconds; reading in turns, which the list's length still multiplies. Change: conditional requests (ETag, If-None-Match) in client and stand-in; no User-Agent and Accept-Encoding headers. Measured: the new spec sees 200, 304, 200 for an unchanged and a changed list. Conclusion: the cost follows the changes of the list.

--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -45,17 +45,17 @@
 type Client struct {
 	o    Options
 	http *http.Client
+	list vmList
 }
 
 type (
 	objects struct{ c *Client }
-	vms     struct{ c *Client }
 )
 
 var (
 	_ platform.Table       = (*Client)(nil)
 	_ platform.ObjectStore = objects{}
-	_ platform.VMList      = vms{}
+	_ platform.VMList      = (*vmList)(nil)
 )
 
 // New returns a client. It makes no connection before the first request.
@@ -73,17 +73,22 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext
 	}
-	return &Client{o: o, http: &http.Client{
+	c := &Client{o: o, http: &http.Client{
 		Transport: &http.Transport{
 			// Environment proxies are not used: the platform is addressed by IP number.
 			Proxy:               nil,
 			DialContext:         o.Dial,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     30 * time.Second,
+			// Store traffic counts against the byte budget of control, and most
+			// answers are too short to gain from compression.
+			DisableCompression: true,
 		},
 		// A followed redirect would send the request a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
+	c.list.c = c
+	return c
 }
 
 // Close closes idle connections.
@@ -93,7 +98,7 @@
 func (c *Client) Objects() platform.ObjectStore { return objects{c} }
 
 // VMs returns the list of VMs.
-func (c *Client) VMs() platform.VMList { return vms{c} }
+func (c *Client) VMs() platform.VMList { return &c.list }
 
 // Get implements platform.Table.
 func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
@@ -143,13 +148,6 @@
 	return o.c.read(ctx, objectPath(name))
 }
 
-// List implements platform.VMList.
-func (v vms) List(ctx context.Context) ([]platform.VMEntry, error) {
-	var entries []platform.VMEntry
-	err := v.c.readJSON(ctx, wire.PathVMs, &entries)
-	return entries, err
-}
-
 // objectPath keeps the slashes of an object name as path separators.
 func objectPath(name string) string {
 	return wire.PathObjects + (&url.URL{Path: name}).EscapedPath()
@@ -203,6 +201,7 @@
 	// get the body a second time.
 	req.GetBody = nil
 	req.Header.Set(wire.HeaderVM, c.o.VM)
+	req.Header.Set("User-Agent", "")
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
--- /dev/null
+++ b/internal/platform/httpplatform/vmlist_test.go
@@ -0,0 +1,51 @@
+package httpplatform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/coder/quartz"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/platform"
+	"goldcresthinge.example/goldcresthinge/internal/platform/httpplatform"
+	"goldcresthinge.example/goldcresthinge/internal/platform/standin"
+)
+
+var _ = Describe("list of VMs", func() {
+	// Guards against a client that reads the whole list each time, and against
+	// one that misses a change of it.
+	It("is transferred only when it has changed", func() {
+		store := standin.NewServer(quartz.NewReal(), 1)
+		var statuses []int
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			rec := httptest.NewRecorder()
+			store.ServeHTTP(rec, r)
+			statuses = append(statuses, rec.Code)
+			for name, values := range rec.Header() {
+				w.Header()[name] = values
+			}
+			w.WriteHeader(rec.Code)
+			_, _ = w.Write(rec.Body.Bytes())
+		}))
+		DeferCleanup(server.Close)
+		client := httpplatform.New(httpplatform.Options{BaseURL: server.URL, VM: "vm-1"})
+		DeferCleanup(client.Close)
+		list := func() []platform.VMEntry {
+			GinkgoHelper()
+			entries, err := client.VMs().List(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			return entries
+		}
+
+		first := []platform.VMEntry{{Name: "a", Address: "127.0.0.1:1"}}
+		store.SetVMs(first...)
+		Expect(list()).To(Equal(first))
+		Expect(list()).To(Equal(first))
+		store.SetVMs(platform.VMEntry{Name: "a", Address: "127.0.0.1:1", Leaving: true})
+		Expect(list()[0].Leaving).To(BeTrue())
+		Expect(statuses).To(Equal([]int{200, 304, 200}))
+	})
+})
--- a/internal/platform/standin/http.go
+++ b/internal/platform/standin/http.go
@@ -1,11 +1,15 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/wire"
@@ -63,7 +67,11 @@
 	})
 	mux.HandleFunc("GET "+wire.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		entries, err := s.caller(r).VMs().List(r.Context())
-		reply(w, entries, err)
+		if err != nil {
+			reply(w, nil, err)
+			return
+		}
+		serveList(w, r, entries)
 	})
 	mux.HandleFunc("PUT "+wire.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		var entries []platform.VMEntry
@@ -84,6 +92,18 @@
 	return mux
 }
 
+// serveList answers with the list, or with 304 if the caller has it already.
+func serveList(w http.ResponseWriter, r *http.Request, entries []platform.VMEntry) {
+	data, err := json.Marshal(entries)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 16)))
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(data))
+}
+
 func (s *Server) caller(r *http.Request) Client { return s.As(r.Header.Get(wire.HeaderVM)) }
 
 func read(w http.ResponseWriter, r *http.Request, into any) bool {
