--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -109,3 +109,15 @@
 	Eventually(p.exited, waitTimeout).Should(BeClosed(), "%s does not end:\n%s", p.name, p.log)
 	return p.cmd.ProcessState.ExitCode()
 }
+
+// together runs cases on different clusters at the same time.
+func together(cases ...func()) {
+	var wg sync.WaitGroup
+	for _, run := range cases {
+		wg.Go(func() {
+			defer GinkgoRecover()
+			run()
+		})
+	}
+	wg.Wait()
+}
