sibling: fewer allocations per forward

Cause: each header field was allocated alone, and the deadline of a stream made yamux start a timer for each wait and allocate two values per call.

Change: header fields are allocated together. The deadline of a stream is set only if the caller's context does not end by then; otherwise the watch of the context ends the exchange. The deadline of an earlier exchange is cleared when the stream is reused.

Mutations: setting a deadline in the wrong case, never setting it (both time out), or keeping that of an earlier exchange fail.

--- a/internal/sibling/client.go
+++ b/internal/sibling/client.go
@@ -110,7 +110,7 @@
 		}
 	}
 	ex := &exchange{st: st}
-	_ = st.SetDeadline(fwd.Deadline)
+	st.limit(ctx, fwd.Deadline)
 	// yamux lets a blocked read go on after Close; the deadline ends it.
 	ex.stop = context.AfterFunc(ctx, func() {
 		_ = st.SetDeadline(time.Unix(1, 0))
--- a/internal/sibling/codec.go
+++ b/internal/sibling/codec.go
@@ -25,9 +25,12 @@
 }
 
 func headerToProto(h http.Header) []*siblingpb.HeaderField {
+	all := make([]siblingpb.HeaderField, len(h))
 	fields := make([]*siblingpb.HeaderField, 0, len(h))
 	for name, values := range h {
-		fields = append(fields, &siblingpb.HeaderField{Name: name, Values: values})
+		field := &all[len(fields)]
+		field.Name, field.Values = name, values
+		fields = append(fields, field)
 	}
 	return fields
 }
--- a/internal/sibling/reuse_test.go
+++ b/internal/sibling/reuse_test.go
@@ -173,6 +173,38 @@
 		Expect(streams.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against the deadline of an earlier call that ends a later one, and
+	// against calls without any.
+	It("gives each exchange its own deadline", func() {
+		got := make(chan struct{}, 3)
+		script = func(p *peer) {
+			for req := p.request(); req != nil; req = p.request() {
+				if strings.HasPrefix(req.GetForward().GetPath(), "/never") {
+					got <- struct{}{}
+					continue
+				}
+				p.answer(req)
+			}
+		}
+		expectOwnAnswer("/1") // limited by the call, as all without a deadline of the context
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		answer, err := client.Forward(ctx, to, &call.Call{Path: "/2", Deadline: time.Now().Add(time.Hour)})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Body.Close()).To(Succeed())
+		cancel()
+		_, err = client.Forward(context.Background(), to, &call.Call{Path: "/never/1", Deadline: time.Now().Add(10 * time.Millisecond)})
+		Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
+		Eventually(got).Should(Receive())
+		ctx, cancel = context.WithTimeout(context.Background(), time.Hour)
+		defer cancel()
+		_, err = client.Forward(ctx, to, &call.Call{Path: "/never/2", Deadline: time.Now().Add(10 * time.Millisecond)})
+		Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
+		expectOwnAnswer("/3")
+		Expect(streams.Load()).To(BeEquivalentTo(3))
+	})
+
 	// Guards against the rest of an answer in the next one.
 	It("leaves a stream whose answer was not read to its end", func() {
 		answer, err := start(context.Background(), "/1")
--- a/internal/sibling/session.go
+++ b/internal/sibling/session.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"time"
@@ -51,6 +52,7 @@
 	idle      *idleStreams
 	exchange  uint64 // number of the latest exchange
 	idleSince time.Time
+	limited   bool // yamux has a deadline
 }
 
 func newStream(conn net.Conn) *stream {
@@ -81,6 +83,20 @@
 	}
 }
 
+// limit sets the deadline of an exchange. A context that ends no later and
+// closes the stream makes it unnecessary, which saves a timer for each read.
+func (s *stream) limit(ctx context.Context, deadline time.Time) {
+	if end, ok := ctx.Deadline(); ok && !end.After(deadline) {
+		if s.limited {
+			_ = s.SetDeadline(time.Time{})
+			s.limited = false
+		}
+		return
+	}
+	_ = s.SetDeadline(deadline)
+	s.limited = true
+}
+
 // shrink releases the receive buffer of yamux, which otherwise stays as large
 // as the most that ever waited in it.
 func (s *stream) shrink() {
