--- a/internal/backend/sender_test.go
+++ b/internal/backend/sender_test.go
@@ -88,6 +88,7 @@
 			DeferCleanup(server.Close)
 			answer, err := send(server.Listener.Addr().String(), &call.Call{Method: http.MethodGet, Path: path}, allow)
 			if want == "" {
+				Expect(err).To(HaveOccurred())
 				Expect(outcome.FromError(err).Reason).To(Equal(outcome.ReasonBadRequest))
 				Expect(outcome.FromError(err).Kind).To(Equal(outcome.NotRun))
 				Expect(seen.Load()).To(BeNil())
