Add claims in the memory of VMs of the home region

Cause: a non-idempotent request whose home regions exclude the region of the store must leave nothing in the store, so it was refused (no-claim-store).

Splitting the handover message was not needed, since 16,384 records bound it to 2.3 MB of the 4 MiB.

Change: - internal/regionclaim: owner of claim partitions, and the receiver's ledger. The package comment says why two owners never both grant a key. - Partitions are pools of the reserved names ~claims-NN. internal/lease assigns them as it does pools. It gives an empty record set only to a partition that nobody held; epoch 1 alone does not prove that (dropped and taken again by the same VM, or moved to another failure domain). A handover message of an earlier failed attempt no longer replaces a later one with the same epoch. - The gateway picks the ledger by home regions. Requests with several home regions without the store use the first by name; the others refuse as no-claim-store, because a VM does not see the owners of other regions. - The warning of check said that such requests are refused. Its test entry now expects the whole new text instead of the reason alone; the refusal that is left, with several home regions, has a test of its own.

The bound of records allows 16*16384 in 10 min, 436 claims/s per region.

Open: a configuration change that moves a route to another ledger forgets claims.

--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -39,16 +39,21 @@
 // Key names a request that must run at most once.
 type Key struct{ Tenant, Route, Key string }
 
-// RowKey returns the key of the claim row. Each part goes into the digest with
-// its length, so that different keys never give the same input.
+// RowKey returns the key of the claim row.
 func (k Key) RowKey() string {
+	sum := k.Digest()
+	return RowPrefix + hex.EncodeToString(sum[:])
+}
+
+// Digest returns the SHA-256 of the key. Each part goes into it with its
+// length, so that different keys never give the same input.
+func (k Key) Digest() [sha256.Size]byte {
 	var b []byte
 	for _, part := range []string{k.Tenant, k.Route, k.Key} {
 		b = binary.BigEndian.AppendUint64(b, uint64(len(part)))
 		b = append(b, part...)
 	}
-	sum := sha256.Sum256(b)
-	return RowPrefix + hex.EncodeToString(sum[:])
+	return sha256.Sum256(b)
 }
 
 // ParseRecord reads the value of a claim row. Unknown fields are ignored, so
--- /dev/null
+++ b/internal/daemon/claims.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"github.com/coder/quartz"
+	"github.com/go-kit/log"
+	"github.com/samber/do/v2"
+
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/lease"
+	"goldcresthinge.example/goldcresthinge/internal/membership"
+	"goldcresthinge.example/goldcresthinge/internal/regionclaim"
+	"goldcresthinge.example/goldcresthinge/internal/rollout"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+)
+
+// registeredAs returns the VM with the incarnation of its lease.
+func registeredAs(self vm.Info, keeper *lease.Keeper) func() vm.Info {
+	return func() vm.Info {
+		info := self
+		info.Incarnation = keeper.Incarnation()
+		return info
+	}
+}
+
+func provideClaimOwner(i do.Injector) (*regionclaim.Owner, error) {
+	return regionclaim.NewOwner(do.MustInvoke[*lease.Keeper](i), do.MustInvoke[quartz.Clock](i)), nil
+}
+
+func provideRegionLedger(i do.Injector) (*regionclaim.Ledger, error) {
+	self := do.MustInvoke[vm.Info](i)
+	keeper := do.MustInvoke[*lease.Keeper](i)
+	config := do.MustInvoke[*rollout.Store](i)
+	return regionclaim.New(regionclaim.Config{
+		Self: registeredAs(self, keeper),
+		Partition: func(digest [32]byte) (inventory.PoolID, bool) {
+			return config.Current().ClaimPartition(self.Region, digest)
+		},
+		HolderOf: keeper.HolderOf,
+		Exchange: do.MustInvoke[*membership.Table](i).Exchange,
+		Owner:    do.MustInvoke[*regionclaim.Owner](i),
+		Clock:    do.MustInvoke[quartz.Clock](i),
+		Logger:   do.MustInvoke[log.Logger](i),
+		Scope:    do.MustInvoke[*metricsReport](i).scope,
+	}), nil
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -76,6 +76,8 @@
 		id := inventory.PoolID{Service: done.GetService(), FailureDomain: done.GetFailureDomain()}
 		d.holder.PredecessorDone(id, done.GetTarget(), int(done.GetCount()))
 		return ack(nil)
+	case *siblingpb.Request_RegionClaim:
+		return &siblingpb.Response{Kind: &siblingpb.Response_RegionClaim{RegionClaim: d.claims.Handle(kind.RegionClaim)}}
 	}
 	return &siblingpb.Response{Kind: &siblingpb.Response_Ack{Ack: &siblingpb.Ack{Error: "unknown request"}}}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/operator"
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/httpplatform"
+	"goldcresthinge.example/goldcresthinge/internal/regionclaim"
 	"goldcresthinge.example/goldcresthinge/internal/rollout"
 	"goldcresthinge.example/goldcresthinge/internal/router"
 	"goldcresthinge.example/goldcresthinge/internal/settings"
@@ -79,6 +80,8 @@
 	router  *router.Router
 	gateway *gateway.Gateway
 	ledger  *claim.Ledger
+	claims  *regionclaim.Owner
+	region  *regionclaim.Ledger
 	sweeper *claim.Sweeper
 	sender  *backend.Sender
 	client  *sibling.Client
@@ -175,6 +178,8 @@
 		router:    do.MustInvoke[*router.Router](i),
 		gateway:   gw,
 		ledger:    do.MustInvoke[*claim.Ledger](i),
+		claims:    do.MustInvoke[*regionclaim.Owner](i),
+		region:    do.MustInvoke[*regionclaim.Ledger](i),
 		sender:    do.MustInvoke[*backend.Sender](i),
 		client:    do.MustInvoke[*sibling.Client](i),
 		vms:       do.MustInvoke[*httpplatform.Client](i).VMs(),
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -47,6 +47,10 @@
 	sleep(ctx, d.settings.DrainLead)
 	// Shutdown waits for the calls in progress; new connections are refused.
 	_ = d.callers.Shutdown(ctx)
+	// Reports go to the owners of keys while this VM still knows who they are.
+	reportCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	d.region.Close(reportCtx)
+	cancel()
 	releaseCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	if err := d.keeper.Release(releaseCtx); err != nil {
 		_ = level.Warn(d.log).Log("msg", "pools not handed over; the lease will expire", "err", err)
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -27,6 +27,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/membership"
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/httpplatform"
+	"goldcresthinge.example/goldcresthinge/internal/regionclaim"
 	"goldcresthinge.example/goldcresthinge/internal/retry"
 	"goldcresthinge.example/goldcresthinge/internal/rollout"
 	"goldcresthinge.example/goldcresthinge/internal/router"
@@ -50,6 +51,30 @@
 // holder, and the holder, which asks the keeper for the lease.
 type lateHolder struct {
 	*holder.Holder
+	claims *regionclaim.Owner // gets the claim partitions
+}
+
+func (h *lateHolder) pools(id inventory.PoolID) lease.Pools {
+	if inventory.IsClaimPartition(id.Service) {
+		return h.claims
+	}
+	return h.Holder
+}
+
+// TakePool implements lease.Pools.
+func (h *lateHolder) TakePool(id inventory.PoolID, epoch uint64, state *siblingpb.Handover, halfCap bool) {
+	h.pools(id).TakePool(id, epoch, state, halfCap)
+}
+
+// LiftHalfCap implements lease.Pools.
+func (h *lateHolder) LiftHalfCap(id inventory.PoolID) { h.pools(id).LiftHalfCap(id) }
+
+// DropPool implements lease.Pools.
+func (h *lateHolder) DropPool(id inventory.PoolID, epoch uint64) { h.pools(id).DropPool(id, epoch) }
+
+// ExportPool implements lease.Pools.
+func (h *lateHolder) ExportPool(id inventory.PoolID) *siblingpb.Handover {
+	return h.pools(id).ExportPool(id)
 }
 
 // link names functions of parts that are made later than their users.
@@ -95,6 +120,8 @@
 	do.Provide(i, provideHolder)
 	do.Provide(i, provideRouter)
 	do.Provide(i, provideLedger)
+	do.Provide(i, provideClaimOwner)
+	do.Provide(i, provideRegionLedger)
 	do.Provide(i, provideGateway)
 }
 
@@ -239,7 +266,8 @@
 			ln.ended(id, epoch, target)
 		},
 	})
-	do.MustInvoke[*lateHolder](i).Holder = h
+	late := do.MustInvoke[*lateHolder](i)
+	late.Holder, late.claims = h, do.MustInvoke[*regionclaim.Owner](i)
 	return h, nil
 }
 
@@ -259,11 +287,7 @@
 	keeper := do.MustInvoke[*lease.Keeper](i)
 	return claim.New(
 		do.MustInvoke[platform.Table](i),
-		func() vm.Info {
-			info := self
-			info.Incarnation = keeper.Incarnation()
-			return info
-		},
+		registeredAs(self, keeper),
 		keeper,
 		do.MustInvoke[quartz.Clock](i),
 		do.MustInvoke[log.Logger](i),
@@ -279,7 +303,8 @@
 		Snapshot:         do.MustInvoke[*rollout.Store](i).Current,
 		Holder:           do.MustInvoke[*holder.Holder](i),
 		Forwarder:        do.MustInvoke[*sibling.Client](i),
-		Claims:           do.MustInvoke[*claim.Ledger](i),
+		Claims:           do.MustInvoke[*claim.Ledger](i).Source(),
+		RegionClaims:     do.MustInvoke[*regionclaim.Ledger](i),
 		Table:            do.MustInvoke[*dispatch.Table](i),
 		Budget:           do.MustInvoke[*retry.Budget](i),
 		Remote:           do.MustInvoke[*router.Router](i),
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -60,7 +60,7 @@
 	if refusal := readContext(c, r.Header, route, now); refusal != nil {
 		return nil, refusal
 	}
-	if refusal := checkClaimable(snap, c, bound); refusal != nil {
+	if refusal := g.checkClaimable(snap, c); refusal != nil {
 		return nil, refusal
 	}
 	return c, nil
@@ -102,17 +102,15 @@
 
 // checkClaimable refuses non-idempotent calls that could run twice, since
 // their key cannot be claimed.
-func checkClaimable(snap *inventory.Snapshot, c *call.Call, bound bool) *outcome.Error {
+func (g *Gateway) checkClaimable(snap *inventory.Snapshot, c *call.Call) *outcome.Error {
 	if !c.NonIdempotent {
 		return nil
 	}
 	if c.Header.Get(outcome.HeaderIdempotency) == "" {
 		return outcome.Refuse(http.StatusBadRequest, outcome.ReasonNoKey, "header Idempotency-Key is required")
 	}
-	if bound && !slices.Contains(c.HomeRegions, snap.StoreRegion()) {
-		return outcome.Busy(outcome.ReasonNoClaimStore, 0)
-	}
-	return nil
+	_, refusal := g.claimSource(snap, c.HomeRegions)
+	return refusal
 }
 
 // readBody reads the whole body before anything is sent, so that a caller that
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,11 +32,6 @@
 	Forward(ctx context.Context, to vm.Info, c *call.Call) (*call.Answer, error)
 }
 
-// Claims claims idempotency keys.
-type Claims interface {
-	Claim(ctx context.Context, key claim.Key) (*claim.Claim, error)
-}
-
 // Remote names the VMs of other regions that may act as receivers there.
 type Remote interface {
 	// Next returns a VM of another region in which service has targets, or
@@ -47,16 +42,20 @@
 	Allow(now time.Time, region string, size int) bool
 }
 
-// Config holds what a Gateway needs. All fields are required.
+// Config holds what a Gateway needs. All fields but RegionClaims are required.
 type Config struct {
 	Self      vm.Info
 	Snapshot  func() *inventory.Snapshot
 	Holder    Holder
 	Forwarder Forwarder
-	Claims    Claims
-	Table     *dispatch.Table
-	Budget    *retry.Budget
-	Remote    Remote
+	// Claims claims keys in the platform's store.
+	Claims claim.Source
+	// RegionClaims claims keys of requests whose home regions exclude that of
+	// the store. nil: such requests are refused.
+	RegionClaims claim.Source
+	Table        *dispatch.Table
+	Budget       *retry.Budget
+	Remote       Remote
 	// Ready reports whether new calls may be taken.
 	Ready func(now time.Time) bool
 	Clock quartz.Clock
@@ -143,13 +142,18 @@
 
 // serveOnce runs a non-idempotent call under a claim of its key.
 func (g *Gateway) serveOnce(ctx context.Context, w http.ResponseWriter, c *call.Call, start time.Time) {
+	source, refusal := g.claimSource(g.cfg.Snapshot(), c.HomeRegions)
+	if refusal != nil {
+		g.refuse(w, c.Service, refusal, start)
+		return
+	}
 	key := claim.Key{Tenant: c.Tenant, Route: c.Route, Key: c.Header.Get(outcome.HeaderIdempotency)}
-	claimed, err := g.cfg.Claims.Claim(ctx, key)
+	claimed, err := source.Claim(ctx, key)
 	if err != nil {
 		g.refuseDuplicate(w, c.Service, err, start)
 		return
 	}
-	answer, err := g.Do(ctx, c)
+	answer, err := g.doClaimed(ctx, c, claimed)
 	// The claim is settled even if the caller has gone.
 	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
@@ -165,7 +169,29 @@
 	g.reply(w, answer, start)
 }
 
-func (g *Gateway) settleClaim(ctx context.Context, claimed *claim.Claim, kind outcome.Kind) {
+// doClaimed runs a call unless its permission has run out, which a pause of
+// this VM may cause.
+func (g *Gateway) doClaimed(ctx context.Context, c *call.Call, claimed claim.Permission) (*call.Answer, error) {
+	if !claimed.Startable(g.now()) {
+		return nil, outcome.Busy(outcome.ReasonNotReady, time.Second)
+	}
+	return g.Do(ctx, c)
+}
+
+// claimSource returns where the key of a call with these home regions is
+// claimed. All receivers of a key must use the same source.
+func (g *Gateway) claimSource(snap *inventory.Snapshot, homeRegions []string) (claim.Source, *outcome.Error) {
+	region, inRegion := snap.ClaimRegion(homeRegions)
+	switch {
+	case !inRegion:
+		return g.cfg.Claims, nil
+	case g.cfg.RegionClaims == nil || region != g.cfg.Self.Region:
+		return nil, outcome.Busy(outcome.ReasonNoClaimStore, 0)
+	}
+	return g.cfg.RegionClaims, nil
+}
+
+func (g *Gateway) settleClaim(ctx context.Context, claimed claim.Permission, kind outcome.Kind) {
 	var err error
 	if kind == outcome.NotRun {
 		err = claimed.NotRun(ctx)
--- a/internal/inventory/snapshot.go
+++ b/internal/inventory/snapshot.go
@@ -21,6 +21,7 @@
 	pools        map[PoolID][]Target
 	poolsOf      map[string][]PoolID
 	storeRegion  string
+	claimPools   map[string][]PoolID // by region
 }
 
 // NewSnapshot compiles doc, which must have passed Validate. The caller must
@@ -61,6 +62,7 @@
 	for _, name := range doc.Rules.OutOfService {
 		s.outOfService[name] = true
 	}
+	s.addClaimPartitions()
 	return s
 }
 
--- a/internal/inventory/warnings.go
+++ b/internal/inventory/warnings.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 )
@@ -43,8 +44,8 @@
 	store := w.snap.StoreRegion()
 	if r.NonIdempotent && len(r.HomeRegions) > 0 && !slices.Contains(r.HomeRegions, store) {
 		w.fault(at.field("home_regions"),
-			"requests must run at most once, but home regions %s exclude %s, the region of the store: they are refused as not run (no-claim-store)",
-			strings.Join(r.HomeRegions, ", "), store)
+			"requests must run at most once, but home regions %s exclude %s, the region of the store: %s",
+			strings.Join(r.HomeRegions, ", "), store, w.claims(r.HomeRegions))
 	}
 	if len(r.HomeRegions) > 0 && !w.servedIn(r.Service, r.HomeRegions) {
 		w.fault(at.field("home_regions"), "service %s has no targets in %s", r.Service, strings.Join(r.HomeRegions, ", "))
@@ -57,12 +58,22 @@
 			w.fault(at.field("home_regions"), "requests of tenant %s are served nowhere: its home regions are %s",
 				t.Name, strings.Join(t.HomeRegions, ", "))
 		case r.NonIdempotent && !slices.Contains(regions, store) && (len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, store)):
-			w.fault(at, "requests of tenant %s must run at most once, but its home regions %s exclude %s, the region of the store: they are refused as not run (no-claim-store)",
-				t.Name, strings.Join(t.HomeRegions, ", "), store)
+			w.fault(at, "requests of tenant %s must run at most once, but its home regions %s exclude %s, the region of the store: %s",
+				t.Name, strings.Join(t.HomeRegions, ", "), store, w.claims(regions))
 		}
 	}
 }
 
+// claims says what holds for claims that may not be kept in the store.
+func (w *warner) claims(homeRegions []string) string {
+	region, _ := w.snap.ClaimRegion(homeRegions)
+	text := fmt.Sprintf("their claims are kept in the memory of the VMs of %s, and the loss of one makes its keys uncertain for 10 minutes", region)
+	if len(homeRegions) > 1 {
+		text += "; the VMs of the other home regions refuse them as not run (no-claim-store)"
+	}
+	return text
+}
+
 func (w *warner) servedIn(service string, regions []string) bool {
 	return slices.ContainsFunc(w.snap.Pools(service), func(id PoolID) bool {
 		return slices.Contains(regions, w.snap.RegionOf(id.FailureDomain))
--- a/internal/lease/clear.go
+++ b/internal/lease/clear.go
@@ -113,7 +113,7 @@
 			a := row.pools[service]
 			id := inventory.PoolID{Service: service, FailureDomain: domain}
 			_, has := c.held[id]
-			if a.Incarnation != c.own.incarnation || has || len(c.snap.Targets(id)) == 0 || c.exporting(id) {
+			if a.Incarnation != c.own.incarnation || has || !c.snap.HasPool(id) || c.exporting(id) {
 				continue
 			}
 			c.beginPool(now, id, a)
@@ -138,6 +138,7 @@
 		}
 		state, h.halfCap = nil, !lift
 	}
+	state = c.claimState(id, a, state)
 	delete(c.stash, id)
 	c.held[id] = h
 	c.emit(action{kind: actTake, pool: id, epoch: h.epoch, state: state, halfCap: h.halfCap})
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -111,6 +111,7 @@
 
 	held      map[inventory.PoolID]holding
 	stash     map[inventory.PoolID]*siblingpb.Handover
+	begun     map[inventory.PoolID]uint64 // claim partitions: last epoch that began
 	leaving   bool
 	finishing bool // Release was called
 	releasing bool // all pools are dropped; none is served again
@@ -130,7 +131,7 @@
 		promised: map[uint64]time.Time{}, statement: map[uint64]time.Time{}, contact: map[uint64]time.Time{},
 		noted: map[uint64]time.Time{}, confirm: map[uint64]map[uint64]time.Time{},
 		started: now, lastExchange: now, graceUntil: now.Add(graceAge),
-		held: map[inventory.PoolID]holding{}, stash: map[inventory.PoolID]*siblingpb.Handover{},
+		held: map[inventory.PoolID]holding{}, begun: map[inventory.PoolID]uint64{}, stash: map[inventory.PoolID]*siblingpb.Handover{},
 	}
 }
 
--- a/internal/lease/handover.go
+++ b/internal/lease/handover.go
@@ -175,7 +175,11 @@
 	if c.leaving {
 		return false
 	}
-	c.stash[id] = h
+	// A message of an earlier, failed handover may arrive after that of the
+	// next one, and its state is older than what the former holder did since.
+	if old := c.stash[id]; old == nil || old.Epoch != h.Epoch || old.Export <= h.Export {
+		c.stash[id] = h
+	}
 	return true
 }
 
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -64,10 +64,11 @@
 	win      atomic.Pointer[window]
 	view     atomic.Pointer[view]
 
-	mu   sync.Mutex
-	core *core
-	beat func()
-	ctx  context.Context
+	mu      sync.Mutex
+	core    *core
+	beat    func()
+	ctx     context.Context
+	exports uint64 // number of the last ExportPool
 }
 
 // NewKeeper returns a keeper that does nothing before Run.
@@ -154,6 +155,8 @@
 			a.state = &siblingpb.Handover{}
 		}
 		a.state.Service, a.state.FailureDomain = a.pool.Service, a.pool.FailureDomain
+		k.exports++
+		a.state.Export = k.exports
 		a.state.Epoch, a.state.FromVm, a.state.ToIncarnation = a.epoch, string(k.cfg.Self.ID), a.to.Incarnation
 		k.submit(a)
 	default:
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -55,6 +55,9 @@
 			}
 		}
 	}
+	for _, id := range snap.ClaimPartitionsOf(region) {
+		out[id.FailureDomain] = append(out[id.FailureDomain], id)
+	}
 	return out
 }
 
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -218,7 +218,7 @@
 func (c *core) dropForeign() {
 	for _, id := range c.heldIDs() {
 		a := c.domains[id.FailureDomain].pools[id.Service]
-		if a != nil && a.Incarnation == c.own.incarnation && c.snap != nil && len(c.snap.Targets(id)) > 0 {
+		if a != nil && a.Incarnation == c.own.incarnation && c.snap != nil && c.snap.HasPool(id) {
 			continue
 		}
 		c.drop(id)
