holder: tell siblings which targets announced their leaving

A planned handover lost the announcement, too. Change: heartbeats and handovers name such targets; a successor counts the names for 10 minutes. Conclusion: a call to such a target needs the loss of the holder within a heartbeat of the announcement.

--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -222,6 +222,7 @@
 		OnLoads: func(now time.Time, _ vm.Info, loads []*siblingpb.PoolLoad) {
 			for _, l := range loads {
 				observeLoad(now, table, l)
+				late.NoteLeaving(inventory.PoolID{Service: l.GetService(), FailureDomain: l.GetFailureDomain()}, l.GetLeaving())
 			}
 		},
 	})
--- a/internal/holder/describe.go
+++ b/internal/holder/describe.go
@@ -14,7 +14,11 @@
 	now := h.cfg.Clock.Now()
 	var out []*siblingpb.PoolLoad
 	for _, e := range h.all() {
-		out = append(out, e.load(now))
+		load := e.load(now)
+		e.mu.Lock()
+		load.Leaving = e.state.Leaving()
+		e.mu.Unlock()
+		out = append(out, load)
 	}
 	return out
 }
--- a/internal/holder/handover.go
+++ b/internal/holder/handover.go
@@ -24,6 +24,7 @@
 				BaselineUs: clampUint32(t.Baseline.Microseconds()),
 				InFlight:   clampUint32(int64(t.InFlight)),
 				Instance:   t.Instance,
+				Leaving:    t.Leaving,
 			}
 		}),
 	}
@@ -44,6 +45,7 @@
 				Baseline: time.Duration(t.GetBaselineUs()) * time.Microsecond,
 				InFlight: int(t.GetInFlight()),
 				Instance: t.GetInstance(),
+				Leaving:  t.GetLeaving(),
 			}
 		}),
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -68,15 +68,39 @@
 	mu      sync.RWMutex
 	pools   map[inventory.PoolID]*held
 	leaving map[string]bool // addresses as the list of VMs last said
+	told    map[inventory.PoolID]toldLeaving
 }
 
+// toldLeaving is what the holder of a pool last said of its leaving targets.
+type toldLeaving struct {
+	names []string
+	at    time.Time
+}
+
+// toldAge is how long that counts for a VM that takes the pool over. A target
+// that drains is gone by then or has returned.
+const toldAge = 10 * time.Minute
+
 // New returns a Holder without pools.
 func New(cfg Config) *Holder {
 	return &Holder{
 		cfg:   cfg,
 		log:   log.With(cfg.Log, "part", "holder"),
 		pools: map[inventory.PoolID]*held{},
+		told:  map[inventory.PoolID]toldLeaving{},
+	}
+}
+
+// NoteLeaving records which targets announced their leaving to the holder of a
+// pool, for the case that this VM takes the pool over without handover.
+func (h *Holder) NoteLeaving(id inventory.PoolID, names []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(names) == 0 {
+		delete(h.told, id)
+		return
 	}
+	h.told[id] = toldLeaving{names: names, at: h.cfg.Clock.Now()}
 }
 
 // TakePool starts to serve a pool. state is that of a planned handover, or
@@ -103,6 +127,11 @@
 	for _, t := range targets {
 		st.SetLeaving(t.Name, h.leaving[t.Address])
 	}
+	if told := h.told[id]; state == nil && now.Sub(told.at) < toldAge {
+		for _, name := range told.names {
+			st.NoteLeaving(now, name)
+		}
+	}
 	old := h.pools[id]
 	h.pools[id] = entry
 	h.mu.Unlock()
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -194,6 +194,27 @@
 		Expect(e).To(BeNil())
 	})
 
+	// Guards against a call to a leaving target from a holder that did not hear
+	// the announcement itself.
+	DescribeTable("sends nothing to a target that announced its leaving to the former holder",
+		func(take func()) {
+			owner.epoch = 2
+			take()
+			clock.Advance(time.Second)
+			Expect(h.Load(poolA).GetFree()).To(BeZero())
+			Expect(h.Loads()[0].GetLeaving()).To(Equal([]string{"t1"}))
+		},
+		Entry("without handover", func() {
+			h.NoteLeaving(poolA, []string{"t1"})
+			h.TakePool(poolA, 2, nil, false)
+		}),
+		Entry("with handover", func() {
+			h.TakePool(poolA, 2, &siblingpb.Handover{Targets: []*siblingpb.TargetState{
+				{Name: "t1", Limit: 2, Warm: true, Leaving: true},
+			}}, false)
+		}),
+	)
+
 	It("carries the state of targets through a handover", func() {
 		state := h.ExportPool(poolA)
 		Expect(state.GetTargets()).To(HaveLen(1))
--- a/internal/membership/book.go
+++ b/internal/membership/book.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -51,7 +52,15 @@
 	sentLoad map[inventory.PoolID]load
 }
 
-type load struct{ free, waiting uint32 }
+// load is what a sibling was last told of a pool.
+type load struct {
+	free, waiting uint32
+	leaving       string // names of leaving targets
+}
+
+func loadOf(l *siblingpb.PoolLoad) load {
+	return load{l.Free, l.Waiting, strings.Join(l.Leaving, " ")}
+}
 
 // book decides whom to send heartbeats to and what load news they carry. It
 // reads no clock and is not safe for concurrent use.
@@ -215,11 +224,11 @@
 	for _, l := range loads {
 		pool := inventory.PoolID{Service: l.Service, FailureDomain: l.FailureDomain}
 		last, sent := p.sentLoad[pool]
-		if sent && last == (load{l.Free, l.Waiting}) {
+		if sent && last == loadOf(l) {
 			continue
 		}
 		n := news{l: l, id: pool, rank: 1, delta: max(last.free, l.Free) - min(last.free, l.Free)}
-		if !sent || (last.free == 0) != (l.Free == 0) {
+		if !sent || (last.free == 0) != (l.Free == 0) || last.leaving != loadOf(l).leaving {
 			n.rank = 0
 		}
 		changed = append(changed, n)
@@ -232,7 +241,7 @@
 		if !b.budget.AllowN(now, proto.Size(n.l)+2) {
 			break
 		}
-		p.sentLoad[n.id] = load{n.l.Free, n.l.Waiting}
+		p.sentLoad[n.id] = loadOf(n.l)
 		out = append(out, n.l)
 	}
 	return out
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -64,6 +64,7 @@
 	t.recent = h.Baseline
 	t.foreign, t.foreignBy = h.InFlight, now.Add(t.timeout)
 	t.instance = h.Instance
+	t.leavingSaid, t.leavingSaidAt = h.Leaving, now
 }
 
 func (s *State) add(now time.Time, t *target) {
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -78,6 +78,7 @@
 	Baseline time.Duration
 	InFlight int // calls of the former holder that have not ended
 	Instance string
+	Leaving  bool // the target announced its leaving
 }
 
 // TargetStatus describes a target in the state dump.
--- a/internal/pool/update.go
+++ b/internal/pool/update.go
@@ -100,11 +100,32 @@
 			Baseline: t.ramp.Baseline(),
 			InFlight: len(t.open) + t.foreign,
 			Instance: t.instance,
+			Leaving:  t.leavingSaid,
 		})
 	}
 	return h
 }
 
+// Leaving returns the names of the targets that announced their leaving.
+func (s *State) Leaving() []string {
+	var names []string
+	for _, t := range s.targets {
+		if t.leavingSaid && !t.removed {
+			names = append(names, t.info.Name)
+		}
+	}
+	return names
+}
+
+// NoteLeaving notes that a target announced its leaving to the former holder.
+func (s *State) NoteLeaving(now time.Time, name string) {
+	for _, t := range s.targets {
+		if t.info.Name == name {
+			t.leavingSaid, t.leavingSaidAt = true, now
+		}
+	}
+}
+
 // PredecessorDone notes that calls of the former holder have ended.
 func (s *State) PredecessorDone(name string, calls int) {
 	for _, t := range s.targets {
