--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,6 +31,7 @@
 	ownership Ownership
 	siblings  func() []vm.Info // live siblings of all regions
 	table     *dispatch.Table
+	lists     map[string][]dispatch.Candidate // as last set; used by Refresh only
 
 	mu    sync.Mutex
 	next  int
@@ -45,12 +46,13 @@
 		ownership: ownership,
 		siblings:  siblings,
 		table:     table,
+		lists:     map[string][]dispatch.Candidate{},
 		links:     map[string]*rate.Limiter{},
 	}
 }
 
 // Refresh rebuilds the candidates of all services. It is called after each
-// change of configuration or ownership.
+// change of configuration or ownership, from one goroutine.
 func (r *Router) Refresh(now time.Time) {
 	snap := r.snapshot()
 	if snap == nil {
@@ -58,11 +60,21 @@
 	}
 	for i := range snap.Document.Services {
 		svc := &snap.Document.Services[i]
-		r.table.SetCandidates(svc.Name, r.candidates(snap, svc))
+		r.setCandidates(svc.Name, r.candidates(snap, svc))
 	}
 	r.refreshLinks(now, snap)
 }
 
+// setCandidates replaces the list of a service only if it has changed, since
+// the table copies its lists.
+func (r *Router) setCandidates(service string, list []dispatch.Candidate) {
+	if last, known := r.lists[service]; known && slices.Equal(last, list) {
+		return
+	}
+	r.lists[service] = list
+	r.table.SetCandidates(service, list)
+}
+
 func (r *Router) candidates(snap *inventory.Snapshot, svc *inventory.Service) []dispatch.Candidate {
 	var out []dispatch.Candidate
 	for _, id := range snap.Pools(svc.Name) {
