--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -47,7 +48,7 @@
 		return nil
 	}
 	load := h.d.holder.Load(inventory.PoolID{Service: c.Service, FailureDomain: c.FailureDomain})
-	if load == nil || !h.d.news.AllowN(h.d.clockNow(), proto.Size(load)) {
+	if load == nil || !h.d.news.AllowN(time.Now(), proto.Size(load)) {
 		return nil
 	}
 	return load
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -23,8 +23,6 @@
 	drainPoll = 20 * time.Millisecond
 )
 
-func (d *Daemon) clockNow() time.Time { return time.Now() }
-
 // Drain implements operator.Process: it starts a planned stop and returns.
 func (d *Daemon) Drain() {
 	go func() { _ = d.Stop(context.Background()) }()
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -11,6 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/coder/quartz"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 	"github.com/uber-go/tally/v4"
@@ -135,6 +136,8 @@
 	if s.LogFormat == "json" {
 		logger = log.NewJSONLogger(w)
 	}
+	// Parts that state no level log what operators should see.
+	logger = level.NewInjector(logger, level.InfoValue())
 	return log.With(logger, "ts", log.DefaultTimestampUTC, "vm", s.ID)
 }
 
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -185,7 +185,7 @@
 		}
 		ops := []platform.Op{{Key: poolsKey(c.self.Region, domain), Value: row.encode(changed), IfVersion: row.version}}
 		for _, id := range sortedIDs(revoke) {
-			ops = append(ops, c.revocation(id, a0(row, id)))
+			ops = append(ops, c.revocation(id, incarnationOf(row, id)))
 		}
 		c.commit(now, ops)
 		return true
@@ -193,8 +193,8 @@
 	return false
 }
 
-// a0 returns the incarnation that row names for a VM.
-func a0(row domainRow, id vm.ID) uint64 {
+// incarnationOf returns the incarnation that row names for a VM.
+func incarnationOf(row domainRow, id vm.ID) uint64 {
 	for _, a := range row.pools {
 		if a.VmId == string(id) {
 			return a.Incarnation
