Add the entry VM for the users' platform: adapter, shared measurements, direct sends

Cause: the daemon needs a platform of its own kind (leases, inventory by operators) and cannot run on the users' platform. Change: platform/ decodes settings, registry, configuration and headers; goldcresthinged entry serves callers, measures its share of the servers, shares readings and copies of the store's tables by relays, and decides placement in a package without network.

--- a/cmd/goldcresthinged/main.go
+++ b/cmd/goldcresthinged/main.go
@@ -20,7 +20,13 @@
 	}
 }
 
+// commandEntry selects an entry VM on the users' platform.
+const commandEntry = "entry"
+
 func run() error {
+	if len(os.Args) > 1 && os.Args[1] == commandEntry {
+		return runEntry(os.Args[2:])
+	}
 	s, err := settings.Parse(os.Args[1:], os.Stdout)
 	if err != nil {
 		return err
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -11,7 +11,6 @@
 	"github.com/alitto/pond/v2"
 	"github.com/coder/quartz"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 	"github.com/uber-go/tally/v4"
@@ -25,6 +24,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/holder"
 	"goldcresthinge.example/goldcresthinge/internal/inventory"
 	"goldcresthinge.example/goldcresthinge/internal/lease"
+	"goldcresthinge.example/goldcresthinge/internal/logging"
 	"goldcresthinge.example/goldcresthinge/internal/membership"
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/httpplatform"
@@ -132,13 +132,7 @@
 		w = os.Stderr
 	}
 	w = log.NewSyncWriter(w)
-	logger := log.NewLogfmtLogger(w)
-	if s.LogFormat == "json" {
-		logger = log.NewJSONLogger(w)
-	}
-	// Parts that state no level log what operators should see.
-	logger = level.NewInjector(logger, level.InfoValue())
-	return log.With(logger, "ts", log.DefaultTimestampUTC, "vm", s.ID)
+	return logging.New(w, s.LogFormat, s.ID)
 }
 
 func provideMetrics(i do.Injector) (*metricsReport, error) {
--- /dev/null
+++ b/internal/entry/candidates.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/placement"
+	"goldcresthinge.example/goldcresthinge/internal/routing"
+	"goldcresthinge.example/goldcresthinge/internal/vm"
+	"goldcresthinge.example/goldcresthinge/internal/waiting"
+	"goldcresthinge.example/goldcresthinge/platform"
+)
+
+const (
+	// knownFor is the age of a reading up to which the server is known not to be
+	// cold. Older ones are as good as none.
+	knownFor = 1500 * time.Millisecond
+	// unknownPerSecond bounds what one VM sends to a server without a reading,
+	// which may be cold.
+	unknownPerSecond = 1
+)
+
+// costs are the time that a server of another failure domain has to win.
+// Another region adds two crossings of the link, whose bytes are dear.
+var costs = placement.Costs{SameRegion: 8 * time.Millisecond, OtherRegion: 200 * time.Millisecond}
+
+// candidates supplies placement with servers. It implements waiting.Fleet and
+// front.Fleet.
+type candidates struct {
+	world  *world
+	duties *duties
+	bounds func() platform.Bounds
+	routes func() *routing.Table
+
+	buf sync.Pool // *[]fleet.View
+}
+
+// Candidates implements waiting.Fleet.
+func (c *candidates) Candidates(now time.Time, a *waiting.Ask) []placement.Candidate {
+	buf, _ := c.buf.Get().(*[]fleet.View)
+	if buf == nil {
+		buf = &[]fleet.View{}
+	}
+	defer c.buf.Put(buf)
+	*buf = c.world.fleet.Views((*buf)[:0], a.Service, now)
+	out := make([]placement.Candidate, 0, len(*buf))
+	for i := range *buf {
+		v := &(*buf)[i]
+		region := c.world.Region(v.Server.FailureDomain)
+		if v.Server.Draining || v.Quarantined || v.Reading.Health == fleet.Unreachable ||
+			c.world.Evacuated(v.Server.FailureDomain) || !a.AllowsRegion(region) ||
+			slices.Contains(a.Tried, v.Server.ID) {
+			continue
+		}
+		out = append(out, placement.Candidate{
+			ID: v.Server.ID, Distance: c.distance(v.Server.FailureDomain, region),
+			Slots: v.Server.Slots, Busy: v.Busy, Slowdown: v.Reading.Load.Slowdown,
+			Age: now.Sub(v.Reading.At), Blocked: c.blocked(now, v),
+			Unhealthy: v.Reading.Health == fleet.Unhealthy, FailureShare: v.FailureShare,
+		})
+	}
+	return out
+}
+
+func (c *candidates) distance(domain, region string) placement.Distance {
+	switch {
+	case domain == c.world.self.FailureDomain:
+		return placement.SameDomain
+	case region == c.world.self.Region:
+		return placement.SameRegion
+	default:
+		return placement.OtherRegion
+	}
+}
+
+// blocked reports whether a cold server has had its share of this second. Only
+// the VM that measures a cold server sends to it; half of the limit is left for
+// a second VM that believes so as well.
+func (c *candidates) blocked(now time.Time, v *fleet.View) bool {
+	if now.Sub(v.Reading.At) > knownFor {
+		return v.Server.FailureDomain != c.world.self.FailureDomain || v.SentInSecond >= unknownPerSecond
+	}
+	if !v.Reading.Cold(now) {
+		return false
+	}
+	return !c.duties.measures(v.Server.ID) || v.SentInSecond >= c.coldShare(v.Server.Service)
+}
+
+// coldShare is the number of requests that one VM may send to a cold server
+// within a second.
+func (c *candidates) coldShare(service string) int {
+	routes := c.routes()
+	if routes == nil {
+		return unknownPerSecond
+	}
+	svc, _ := routes.Service(service)
+	if svc.ColdRate <= 0 {
+		return math.MaxInt
+	}
+	b := c.bounds()
+	limit := (svc.ColdRate*b.ColdFactor + b.ColdSlack) / 2
+	return max(int(min(limit, math.Ceil(svc.ColdRate))), unknownPerSecond)
+}
+
+// Sent implements waiting.Fleet.
+func (c *candidates) Sent(server string, now time.Time) { c.world.fleet.Sent(server, now) }
+
+// Server implements front.Fleet.
+func (c *candidates) Server(id string) (fleet.Server, bool) { return c.world.fleet.Server(id) }
+
+// Ended implements front.Fleet.
+func (c *candidates) Ended(id string, now time.Time, r fleet.Result) {
+	c.world.fleet.Ended(id, now, r)
+}
+
+// ObserveSlowdown implements front.Fleet.
+func (c *candidates) ObserveSlowdown(id string, at time.Time, slowdown float64) {
+	c.world.fleet.ObserveSlowdown(id, at, slowdown)
+}
+
+// ConnectionRefused implements front.Fleet.
+func (c *candidates) ConnectionRefused(id string, at time.Time) {
+	c.world.fleet.Observe(id, fleet.Reading{At: at, Health: fleet.Unreachable, Misses: 1})
+}
+
+// duties knows which servers this VM measures. Siblings that see other VMs alive
+// may measure the same servers, which costs some probes.
+type duties struct {
+	mu   sync.RWMutex
+	mine map[string]bool
+}
+
+func (d *duties) measures(server string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.mine[server]
+}
+
+func (d *duties) set(mine map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mine = mine
+}
+
+// assign returns the servers that self measures: for each server the VM with
+// the highest rendezvous hash among the live VMs of its failure domain, or of
+// its region where the failure domain has none.
+func assign(self fleet.VM, alive []fleet.VM, servers []fleet.Server, regionOf func(string) string) []fleet.Server {
+	alive = append(slices.Clone(alive), self)
+	byDomain := map[string][]vm.Info{}
+	byRegion := map[string][]vm.Info{}
+	for _, v := range alive {
+		info := vm.Info{ID: vm.ID(v.ID)}
+		byDomain[v.FailureDomain] = append(byDomain[v.FailureDomain], info)
+		byRegion[v.Region] = append(byRegion[v.Region], info)
+	}
+	var mine []fleet.Server
+	for _, s := range servers {
+		group := byDomain[s.FailureDomain]
+		if len(group) == 0 {
+			group = byRegion[regionOf(s.FailureDomain)]
+		}
+		if best, ok := vm.Preferred(group, s.ID); ok && string(best.ID) == self.ID {
+			mine = append(mine, s)
+		}
+	}
+	return mine
+}
--- /dev/null
+++ b/internal/entry/dump.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/samber/lo"
+
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/replica"
+)
+
+// dump is the state of the process.
+type dump struct {
+	At            time.Time    `json:"at"`
+	VM            fleet.VM     `json:"vm"`
+	Ready         bool         `json:"ready"`
+	NotReady      string       `json:"not_ready,omitempty"`
+	Relay         bool         `json:"relay"`
+	Configuration uint64       `json:"configuration"`
+	Active        int64        `json:"active_requests"`
+	Waiting       int          `json:"waiting_requests"`
+	Connections   int64        `json:"connections_opened"`
+	MemoryBytes   uint64       `json:"memory_bytes"`
+	Tables        []tableDump  `json:"tables"`
+	VMs           []fleet.VM   `json:"vms"`
+	Servers       []fleet.View `json:"servers"`
+}
+
+type tableDump struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	AgeMs   int64  `json:"age_ms"`
+	Rows    int    `json:"rows"`
+}
+
+func (e *Entry) serveDump(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	ready, reason := e.ready()
+	d := dump{
+		At: now, VM: e.self, Ready: ready, NotReady: reason, Relay: e.exchange.Relay(),
+		Active: e.active.Load(), Waiting: e.room.Waiting(), Connections: e.pool.Dialed(), MemoryBytes: processMemory(),
+		VMs: e.world.VMs(), Servers: e.world.fleet.All(now),
+		Tables: lo.Map(e.world.tables(), func(t *replica.Table, _ int) tableDump {
+			version, asOf, _ := t.State()
+			return tableDump{Name: t.Name(), Version: version, AgeMs: now.Sub(asOf).Milliseconds(), Rows: len(t.Rows())}
+		}),
+	}
+	if routes := e.world.routes.Load(); routes != nil {
+		d.Configuration = routes.Version()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		_ = level.Debug(e.log).Log("msg", "dump not written", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,339 @@
+// Package entry runs an entry VM on the users' platform. Every VM sends requests
+// to backend servers itself. Measurements of the servers and copies of the
+// store's tables are shared between VMs; nothing needs an agreement.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/samber/do/v2"
+	"github.com/uber-go/tally/v4"
+
+	"goldcresthinge.example/goldcresthinge/internal/backend"
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/front"
+	"goldcresthinge.example/goldcresthinge/internal/news"
+	"goldcresthinge.example/goldcresthinge/internal/retry"
+	"goldcresthinge.example/goldcresthinge/internal/settings"
+	"goldcresthinge.example/goldcresthinge/internal/sibling"
+	"goldcresthinge.example/goldcresthinge/internal/waiting"
+	"goldcresthinge.example/goldcresthinge/platform"
+)
+
+const (
+	// wakeInterval is the longest time between two decisions on waiting
+	// requests.
+	wakeInterval = 10 * time.Millisecond
+	// sweepInterval is the pause between two looks at idle connections.
+	sweepInterval = time.Second
+	// refreshInterval is the pause between two looks at entries that lapsed.
+	refreshInterval = 200 * time.Millisecond
+	// probeWorkers bounds measurements at once.
+	probeWorkers = 64
+	// registerTimeout bounds a write of this VM's entry.
+	registerTimeout = 2 * time.Second
+	// registerPause is the pause after a write that was not confirmed.
+	registerPause = 500 * time.Millisecond
+	// maxHeaderBytes bounds what net/http reads of a head. The configuration's
+	// own limit is checked afterwards.
+	maxHeaderBytes = 1 << 20
+)
+
+// Entry is a running entry VM.
+type Entry struct {
+	options  settings.Entry
+	log      log.Logger
+	node     atomic.Pointer[platform.Node]
+	self     fleet.VM
+	world    *world
+	exchange *news.Exchange
+	store    *platform.Store
+	pool     *backend.Pool
+	room     *waiting.Room
+	measurer *measurer
+	readers  []*reader
+	metrics  *metricsReport
+
+	callers    *http.Server
+	readiness  *http.Server
+	observe    *http.Server
+	siblings   *sibling.Server
+	client     *sibling.Client
+	listeners  listeners
+	ctx        context.Context
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup
+	draining   atomic.Bool // SIGTERM came
+	closing    atomic.Bool // connections end after their answers
+	active     atomic.Int64
+	stopOnce   sync.Once
+	stopped    chan struct{}
+	registered atomic.Bool
+}
+
+// metricsReport is the tally scope with the handler that shows it.
+type metricsReport struct {
+	scope   tally.Scope
+	handler http.Handler
+	close   func() error
+}
+
+// Start runs an entry VM with the node settings that options name. It returns
+// when the VM listens. logTo is the log's destination and must be safe for
+// concurrent use.
+func Start(options settings.Entry, logTo io.Writer) (*Entry, error) {
+	node, err := platform.ReadNode(options.NodeFile)
+	if err != nil {
+		return nil, err
+	}
+	l, err := listen(node, options)
+	if err != nil {
+		return nil, err
+	}
+	i := do.New()
+	provide(i, node, options, logTo)
+	e, err := build(i, node, options, l)
+	if err != nil {
+		l.close()
+		return nil, err
+	}
+	e.run()
+	return e, nil
+}
+
+type listeners struct{ callers, readiness, siblings, metrics net.Listener }
+
+func listen(node *platform.Node, options settings.Entry) (listeners, error) {
+	var l listeners
+	var lc net.ListenConfig
+	for _, one := range []struct {
+		to            *net.Listener
+		name, address string
+	}{
+		{&l.callers, "callers", node.CallerAddress},
+		{&l.readiness, "readiness checks", node.ReadinessAddress},
+		{&l.siblings, "siblings", node.SiblingAddress()},
+		{&l.metrics, "metrics", options.MetricsListen},
+	} {
+		if one.address == "" {
+			continue
+		}
+		listener, err := lc.Listen(context.Background(), "tcp", one.address)
+		if err != nil {
+			l.close()
+			return listeners{}, fmt.Errorf("listen for %s: %w", one.name, err)
+		}
+		*one.to = listener
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.readiness, l.siblings, l.metrics} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func build(i do.Injector, node *platform.Node, options settings.Entry, l listeners) (*Entry, error) {
+	e := &Entry{
+		options:   options,
+		log:       log.With(do.MustInvoke[log.Logger](i), "part", "entry"),
+		self:      do.MustInvoke[fleet.VM](i),
+		world:     do.MustInvoke[*world](i),
+		pool:      do.MustInvoke[*backend.Pool](i),
+		client:    do.MustInvoke[*sibling.Client](i),
+		metrics:   do.MustInvoke[*metricsReport](i),
+		listeners: l,
+		stopped:   make(chan struct{}),
+	}
+	e.setNode(node)
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.store = platform.NewStore(func() string { return e.node.Load().Store.Address })
+	logger := do.MustInvoke[log.Logger](i)
+	seen := news.NewSeen()
+	e.exchange = news.New(news.Config{
+		Self: e.self, Servers: e.world.fleet, Tables: e.world.tables(), Seen: seen, Client: e.client,
+		VMs: e.world.VMs, Changed: e.newsArrived, Logger: logger,
+	})
+	work := &duties{}
+	fl := &candidates{world: e.world, duties: work, bounds: func() platform.Bounds { return e.node.Load().Bounds }, routes: e.world.routes.Load}
+	e.room = waiting.NewRoom(fl, costs)
+	e.measurer = &measurer{
+		world: e.world, seen: seen, duties: work, pool: e.pool, proto: platform.Headers{}, routes: e.world.routes.Load,
+		workers: pond.NewPool(probeWorkers, pond.WithQueueSize(probeWorkers), pond.WithNonBlocking(true)),
+		wake:    e.room.Wake, log: log.With(logger, "part", "measure"),
+		next: map[string]time.Time{}, busy: map[string]bool{},
+	}
+	e.buildReaders(logger)
+	e.buildServers(fl, logger)
+	return e, nil
+}
+
+func (e *Entry) buildReaders(logger log.Logger) {
+	logger = log.With(logger, "part", "reader")
+	for _, t := range e.world.tables() {
+		r := &reader{table: t, store: e.store, exchange: e.exchange, factor: 1, changed: e.newsArrived, log: logger}
+		switch t {
+		case e.world.operator:
+			r.wait = changeWait
+		case e.world.members:
+			r.factor = membersFactor
+		}
+		e.readers = append(e.readers, r)
+	}
+}
+
+func (e *Entry) buildServers(fl *candidates, logger log.Logger) {
+	handler := front.NewHandler(front.Config{
+		Protocol: platform.Headers{}, Routes: e.world.routes.Load, Fleet: fl, Room: e.room, Pool: e.pool,
+		Work: front.NewWorkTimes(), Budget: retry.NewWindowBudget(), Limits: e.retryLimits,
+		VMs: func() int { return len(e.world.VMs()) }, RegionOf: e.world.Region, Closing: e.closing.Load,
+		Metrics: front.NewMetrics(e.metrics.scope), Logger: logger,
+	})
+	e.callers = front.NewServer(e.countActive(handler), maxHeaderBytes)
+	e.readiness = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: registerTimeout}
+	observe := http.NewServeMux()
+	observe.Handle("GET /metrics", e.metrics.handler)
+	observe.HandleFunc("GET /dump", e.serveDump)
+	e.observe = &http.Server{Handler: observe, ReadHeaderTimeout: registerTimeout}
+	e.siblings = sibling.NewServer(e.listeners.siblings, siblingHandler{Exchange: e.exchange}, logger)
+}
+
+func (e *Entry) countActive(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.active.Add(1)
+		defer e.active.Add(-1)
+		h.ServeHTTP(w, r)
+		e.room.Wake()
+	})
+}
+
+func (e *Entry) retryLimits() retry.WindowLimits {
+	b := e.node.Load().Bounds
+	return retry.WindowLimits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
+}
+
+func (e *Entry) callerLimits() front.Limits {
+	routes := e.world.routes.Load()
+	if routes == nil {
+		return front.Limits{}
+	}
+	l := routes.Limits()
+	return front.Limits{Header: l.HeaderTimeout, Idle: l.IdleTimeout}
+}
+
+// newsArrived takes in changes of the copies and decides again on waiting
+// requests.
+func (e *Entry) newsArrived() {
+	e.world.refresh(time.Now())
+	e.room.Wake()
+}
+
+func (e *Entry) setNode(n *platform.Node) {
+	e.node.Store(n)
+	regions := n.RegionOf
+	e.world.regions.Store(&regions)
+}
+
+// Done is closed when the VM has stopped.
+func (e *Entry) Done() <-chan struct{} { return e.stopped }
+
+func (e *Entry) run() {
+	e.loop("news", e.exchange.Run)
+	e.loop("measure", e.measurer.run)
+	for _, r := range e.readers {
+		e.loop("reader", r.run)
+	}
+	e.loop("register", e.register)
+	e.loop("wake", e.every(wakeInterval, func(time.Time) { e.room.Wake() }))
+	e.loop("refresh", e.every(refreshInterval, e.world.refresh))
+	e.loop("sweep", e.every(sweepInterval, func(now time.Time) {
+		e.pool.Sweep(now, func(id string) bool { _, ok := e.world.fleet.Server(id); return ok })
+	}))
+	e.loop("settings", e.watchSettings)
+	e.serve("callers", func() error {
+		return e.callers.Serve(front.NewListener(e.listeners.callers, e.callerLimits))
+	})
+	if e.listeners.readiness != nil {
+		e.serve("readiness", func() error { return e.readiness.Serve(e.listeners.readiness) })
+	}
+	if e.listeners.metrics != nil {
+		e.serve("metrics", func() error { return e.observe.Serve(e.listeners.metrics) })
+	}
+	e.serve("siblings", e.siblings.Serve)
+	_ = level.Info(e.log).Log("msg", "started", "region", e.self.Region, "failure_domain", e.self.FailureDomain,
+		"callers", e.listeners.callers.Addr(), "siblings", e.self.Address, "incarnation", e.self.Incarnation)
+}
+
+func (e *Entry) loop(name string, run func(context.Context) error) {
+	e.loops.Go(func() {
+		if err := run(e.ctx); err != nil && !errors.Is(err, context.Canceled) {
+			_ = level.Error(e.log).Log("msg", "loop ended", "loop", name, "err", err)
+		}
+	})
+}
+
+func (e *Entry) every(d time.Duration, f func(now time.Time)) func(context.Context) error {
+	return func(ctx context.Context) error {
+		tick := time.NewTicker(d)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-tick.C:
+				f(time.Now())
+			}
+		}
+	}
+}
+
+func (e *Entry) serve(name string, run func() error) {
+	go func() {
+		if err := run(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			_ = level.Error(e.log).Log("msg", "listener ended", "listener", name, "err", err)
+		}
+	}()
+}
+
+// register writes this VM's entry until the store has confirmed it.
+func (e *Entry) register(ctx context.Context) error {
+	value, err := platform.EncodeVM(e.self)
+	if err != nil {
+		return err
+	}
+	for {
+		call, cancel := context.WithTimeout(ctx, registerTimeout)
+		err := e.store.Set(call, platform.TableVMs, e.self.ID, value)
+		cancel()
+		if err == nil {
+			e.registered.Store(true)
+			_ = level.Info(e.log).Log("msg", "registered", "address", e.self.Address)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		_ = level.Warn(e.log).Log("msg", "entry of this VM not written", "err", err)
+		pause := registerPause + time.Duration(rand.Int64N(int64(registerPause))) //nolint:gosec // no secret
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/table.go
@@ -0,0 +1,279 @@
+package fleet
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// settleTime is the time between the send of a measurement and the moment
+	// at the server that it describes: about one way within a region.
+	settleTime = time.Millisecond
+	// quarantineAfter is the number of failures in a row after which a server
+	// gets a pause.
+	quarantineAfter = 3
+	// quarantineFirst and quarantineMost bound the pause, which doubles.
+	quarantineFirst = 500 * time.Millisecond
+	quarantineMost  = 4 * time.Second
+	// failureWeight is the weight of the latest result in the share of failures.
+	failureWeight = 0.2
+)
+
+// Table holds all known backend servers. All methods may be called from any
+// goroutine; none blocks on the network.
+type Table struct {
+	mu      sync.Mutex
+	servers map[string]*state
+	order   []*state // sorted by ID
+	changes uint64   // counts changes of readings
+}
+
+// state is what this VM knows of one server.
+type state struct {
+	server  Server
+	reading Reading
+	changed uint64 // value of Table.changes at the last change of the reading
+
+	inFlight int     // own requests at the server
+	events   []event // own sends and ends that the reading does not contain
+	cold     window  // own sends while cold
+
+	failures      int // in a row
+	failureShare  float64
+	quarantined   time.Time // end of the pause
+	quarantineFor time.Duration
+}
+
+type event struct {
+	at    time.Time
+	delta int
+}
+
+// window counts events within the last second.
+type window struct{ at []time.Time }
+
+func (w *window) count(now time.Time) int {
+	w.at = slices.DeleteFunc(w.at, func(t time.Time) bool { return now.Sub(t) >= time.Second })
+	return len(w.at)
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{servers: map[string]*state{}} }
+
+// SetServers replaces the registered servers. What was measured of servers that
+// stay is kept, unless they started anew.
+func (t *Table) SetServers(servers []Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := make(map[string]*state, len(servers))
+	t.order = t.order[:0]
+	for _, s := range servers {
+		st, ok := t.servers[s.ID]
+		if !ok || st.server.Incarnation != s.Incarnation || st.server.Address != s.Address {
+			st = &state{}
+		}
+		st.server = s
+		known[s.ID] = st
+		t.order = append(t.order, st)
+	}
+	slices.SortFunc(t.order, func(a, b *state) int {
+		if a.server.ID < b.server.ID {
+			return -1
+		}
+		return 1
+	})
+	t.servers = known
+}
+
+// Servers returns all registered servers, sorted by ID.
+func (t *Table) Servers() []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Server, len(t.order))
+	for i, st := range t.order {
+		out[i] = st.server
+	}
+	return out
+}
+
+// Server returns a registered server.
+func (t *Table) Server(id string) (Server, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st, ok := t.servers[id]
+	if !ok {
+		return Server{}, false
+	}
+	return st.server, true
+}
+
+// Observe records a reading if it is newer than the one known. It reports
+// whether it was.
+func (t *Table) Observe(id string, r Reading) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st, ok := t.servers[id]
+	if !ok || !r.At.After(st.reading.At) {
+		return false
+	}
+	if st.reading.Health == Unreachable && r.Health != Unreachable {
+		// Failures before the server came back say nothing of it now.
+		st.failures, st.failureShare, st.quarantined = 0, 0, time.Time{}
+	}
+	st.reading = r
+	t.changes++
+	st.changed = t.changes
+	st.forget(r.At.Add(settleTime))
+	return true
+}
+
+func (st *state) forget(before time.Time) {
+	st.events = slices.DeleteFunc(st.events, func(e event) bool { return !e.at.After(before) })
+}
+
+// ObserveSlowdown records the slowdown that a server stated in an answer.
+func (t *Table) ObserveSlowdown(id string, at time.Time, slowdown float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st, ok := t.servers[id]
+	if ok && at.After(st.reading.At) && st.reading.Health == Healthy {
+		st.reading.Load.Slowdown = slowdown
+		t.changes++
+		st.changed = t.changes
+	}
+}
+
+// Sent records that a request is about to be sent.
+func (t *Table) Sent(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if st, ok := t.servers[id]; ok {
+		st.inFlight++
+		st.events = append(st.events, event{now, 1})
+		if st.reading.Cold(now) || st.reading.Health == Unmeasured {
+			st.cold.at = append(st.cold.at, now)
+		}
+	}
+}
+
+// Result says how a request at a server ended.
+type Result uint8
+
+// Results of requests.
+const (
+	Succeeded Result = iota
+	Failed           // the server failed the request, or gave no answer
+	Neutral          // says nothing about the server, such as a caller who left
+)
+
+// Ended records the end of a request.
+func (t *Table) Ended(id string, now time.Time, r Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st, ok := t.servers[id]
+	if !ok {
+		return
+	}
+	st.inFlight = max(st.inFlight-1, 0)
+	st.events = append(st.events, event{now, -1})
+	switch r {
+	case Succeeded:
+		st.failures, st.quarantineFor = 0, 0
+		st.failureShare *= 1 - failureWeight
+	case Failed:
+		st.failures++
+		st.failureShare += failureWeight * (1 - st.failureShare)
+		if st.failures >= quarantineAfter {
+			st.failures = 0
+			st.quarantineFor = min(max(2*st.quarantineFor, quarantineFirst), quarantineMost)
+			st.quarantined = now.Add(st.quarantineFor)
+		}
+	case Neutral:
+	}
+}
+
+// View is what this VM knows of one server at a moment.
+type View struct {
+	Server  Server
+	Reading Reading
+	// Busy is the estimated number of requests at the server: those of the
+	// reading and own ones since.
+	Busy     int
+	InFlight int // own requests
+	// SentInSecond counts own requests within the last second that were sent
+	// while the server was cold or not yet measured.
+	SentInSecond int
+	FailureShare float64 // 0 to 1, of recent own requests
+	Quarantined  bool
+}
+
+// Views appends the views of the servers of a service to buf.
+func (t *Table) Views(buf []View, service string, now time.Time) []View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, st := range t.order {
+		if st.server.Service == service {
+			buf = append(buf, st.view(now))
+		}
+	}
+	return buf
+}
+
+// All returns the views of all servers.
+func (t *Table) All(now time.Time) []View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]View, 0, len(t.order))
+	for _, st := range t.order {
+		out = append(out, st.view(now))
+	}
+	return out
+}
+
+func (st *state) view(now time.Time) View {
+	busy := st.reading.Load.Running + st.reading.Load.Waiting
+	for _, e := range st.events {
+		busy += e.delta
+	}
+	return View{
+		Server: st.server, Reading: st.reading,
+		Busy: max(busy, st.inFlight, 0), InFlight: st.inFlight,
+		SentInSecond: st.cold.count(now), FailureShare: st.failureShare,
+		Quarantined: now.Before(st.quarantined),
+	}
+}
+
+// Changed is a reading that changed.
+type Changed struct {
+	Server  Server
+	Reading Reading
+}
+
+// ChangedSince returns the readings that changed after the state numbered
+// since, and the number of the present state.
+func (t *Table) ChangedSince(since uint64) ([]Changed, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changes == since {
+		return nil, since
+	}
+	var out []Changed
+	for _, st := range t.order {
+		if st.changed > since {
+			out = append(out, Changed{st.server, st.reading})
+		}
+	}
+	return out, t.changes
+}
+
+// Reading returns the latest reading of a registered server.
+func (t *Table) Reading(id string) (Reading, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st, ok := t.servers[id]
+	if !ok {
+		return Reading{}, false
+	}
+	return st.reading, true
+}
--- /dev/null
+++ b/internal/front/metrics.go
@@ -0,0 +1,31 @@
+package front
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Metrics counts how requests end. It is safe for concurrent use.
+type Metrics struct{ scope tally.Scope }
+
+// NewMetrics reports to scope.
+func NewMetrics(scope tally.Scope) *Metrics { return &Metrics{scope: scope.SubScope("front")} }
+
+// latencyBuckets cover 5 ms to 10 s in steps of half.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.5, 20)
+
+func (m *Metrics) answered(priority int, took time.Duration) {
+	tagged := m.scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
+	tagged.Counter("answered_requests").Inc(1)
+	tagged.Histogram("answer_latency", latencyBuckets).RecordDuration(took)
+}
+
+func (m *Metrics) ended(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("unanswered_requests").Inc(1)
+}
+
+func (m *Metrics) attemptFailed(outcome string) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("failed_attempts").Inc(1)
+}
--- /dev/null
+++ b/internal/news/news.go
@@ -0,0 +1,259 @@
+// Package news shares measurements of backend servers and copies of the store's
+// tables between entry VMs. Each failure domain has a relay, the first live VM in
+// an order that all VMs compute alike. The VMs of the domain subscribe at it, and
+// the relays subscribe at each other. Two VMs that both act as relay cost some
+// bytes and nothing else, so no agreement is needed.
+package news
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/samber/lo"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/replica"
+	"goldcresthinge.example/goldcresthinge/internal/sibling"
+)
+
+const (
+	// stepInterval is the pause between two looks at the links to other VMs.
+	stepInterval = 100 * time.Millisecond
+	// sendInterval is the pause between two messages to a VM of the same
+	// failure domain: a sixth of the interval at which servers change speed.
+	sendInterval = 25 * time.Millisecond
+	// farInterval is the same towards other failure domains, whose bytes are
+	// billed.
+	farInterval = 50 * time.Millisecond
+	// refreshInterval is the longest pause between two messages, and between
+	// two full sets of readings within a failure domain.
+	refreshInterval = 250 * time.Millisecond
+	// silentAfter is the time without a message after which a sibling counts as
+	// lost: two refreshes and a delayed packet.
+	silentAfter = 700 * time.Millisecond
+	// connectTimeout bounds the time to the first message of a sibling.
+	connectTimeout = 600 * time.Millisecond
+	// suspectFor is the pause before a lost sibling is tried again.
+	suspectFor = 2 * time.Second
+)
+
+// Config holds what an Exchange needs. All fields are required.
+type Config struct {
+	Self     fleet.VM
+	Servers  *fleet.Table
+	Tables   []*replica.Table
+	Seen     *Seen
+	Client   *sibling.Client
+	VMs      func() []fleet.VM // registered VMs, this one included
+	RegionOf func(domain string) string
+	// Changed is called after news were taken in.
+	Changed func()
+	Logger  log.Logger
+}
+
+// Exchange sends and receives news. Its methods may be called from any
+// goroutine.
+type Exchange struct {
+	cfg   Config
+	relay atomic.Bool
+	links map[string]*link // by failure domain; used by Run only
+}
+
+// New returns an Exchange that does nothing before Run.
+func New(cfg Config) *Exchange {
+	cfg.Logger = log.With(cfg.Logger, "part", "news")
+	return &Exchange{cfg: cfg, links: map[string]*link{}}
+}
+
+// Relay reports whether this VM is the relay of its failure domain.
+func (x *Exchange) Relay() bool { return x.relay.Load() }
+
+// FirstRelay reports whether this VM is the relay of the first failure domain
+// of its region that has a live VM. It reads the store for the region.
+func (x *Exchange) FirstRelay(now time.Time) bool {
+	if !x.relay.Load() {
+		return false
+	}
+	for _, v := range x.cfg.Seen.Filter(x.cfg.VMs(), now) {
+		if v.Region == x.cfg.Self.Region && v.FailureDomain < x.cfg.Self.FailureDomain {
+			return false
+		}
+	}
+	return true
+}
+
+// Run keeps the links until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	var steps sync.WaitGroup
+	defer steps.Wait()
+	tick := time.NewTicker(stepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			x.step(ctx, &steps)
+		}
+	}
+}
+
+// step looks after the link of the own failure domain and, on a relay, the
+// links to the relays of the others.
+func (x *Exchange) step(ctx context.Context, steps *sync.WaitGroup) {
+	byDomain := lo.GroupBy(x.cfg.VMs(), func(v fleet.VM) string { return v.FailureDomain })
+	for domain, vms := range byDomain {
+		l, ok := x.links[domain]
+		if !ok {
+			l = &link{x: x, domain: domain, suspects: map[string]time.Time{}}
+			x.links[domain] = l
+		}
+		wanted := domain == x.cfg.Self.FailureDomain || x.relay.Load()
+		if !l.busy.CompareAndSwap(false, true) {
+			continue
+		}
+		steps.Go(func() {
+			defer l.busy.Store(false)
+			l.step(ctx, vms, wanted)
+		})
+	}
+}
+
+// Order returns the VMs of a failure domain in the order in which they become
+// its relay.
+func Order(vms []fleet.VM, domain string) []fleet.VM {
+	out := slices.Clone(vms)
+	slices.SortFunc(out, func(a, b fleet.VM) int {
+		return cmp.Or(cmp.Compare(rank(a, domain), rank(b, domain)), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+func rank(v fleet.VM, domain string) uint64 { return xxhash.Sum64String(domain + "\x00" + v.ID) }
+
+// link is the subscription at the relay of one failure domain.
+type link struct {
+	x      *Exchange
+	domain string
+	busy   atomic.Bool // a step is running
+
+	suspects map[string]time.Time // used by step only
+	current  *subscription        // used by step only
+}
+
+type subscription struct {
+	vm    fleet.VM
+	ended chan struct{}
+	close func()
+}
+
+func (s *subscription) alive() bool {
+	select {
+	case <-s.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+func (l *link) step(ctx context.Context, vms []fleet.VM, wanted bool) {
+	now := time.Now()
+	if l.current != nil && !l.current.alive() {
+		l.suspects[l.current.vm.ID] = now.Add(suspectFor)
+		l.current = nil
+	}
+	if !wanted {
+		l.drop()
+		return
+	}
+	own := l.domain == l.x.cfg.Self.FailureDomain
+	for _, v := range Order(vms, l.domain) {
+		if v.ID == l.x.cfg.Self.ID {
+			l.drop()
+			l.setRelay(true)
+			return
+		}
+		if l.current != nil && l.current.vm.ID == v.ID && l.current.vm.Address == v.Address {
+			if own {
+				l.setRelay(false)
+			}
+			return
+		}
+		if now.Before(l.suspects[v.ID]) || ctx.Err() != nil {
+			continue
+		}
+		s, err := l.x.subscribe(ctx, v)
+		if err != nil {
+			l.suspects[v.ID] = time.Now().Add(suspectFor)
+			_ = level.Debug(l.x.cfg.Logger).Log("msg", "sibling not reachable", "sibling", v.ID, "err", err)
+			continue
+		}
+		l.drop()
+		l.current = s
+		delete(l.suspects, v.ID)
+		_ = level.Info(l.x.cfg.Logger).Log("msg", "subscribed", "sibling", v.ID, "failure_domain", l.domain)
+		if own {
+			l.setRelay(false)
+		}
+		return
+	}
+}
+
+func (l *link) drop() {
+	if l.current != nil {
+		l.current.close()
+		l.current = nil
+	}
+}
+
+func (l *link) setRelay(relay bool) {
+	if l.x.relay.Swap(relay) != relay {
+		_ = level.Info(l.x.cfg.Logger).Log("msg", "relay changed", "failure_domain", l.domain, "relay_is_self", relay)
+	}
+}
+
+// subscribe opens a subscription and waits for its first message.
+func (x *Exchange) subscribe(ctx context.Context, v fleet.VM) (*subscription, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	stream, err := x.cfg.Client.Subscribe(dialCtx, v.Address, &siblingpb.Subscribe{
+		VmId: x.cfg.Self.ID, FailureDomain: x.cfg.Self.FailureDomain, Region: x.cfg.Self.Region,
+	})
+	if err != nil {
+		return nil, err
+	}
+	first, err := stream.Receive(connectTimeout)
+	if err != nil {
+		_ = stream.Close()
+		x.cfg.Client.Drop(v.Address)
+		return nil, err
+	}
+	p := newPeer(x, v, stream)
+	s := &subscription{vm: v, ended: make(chan struct{}), close: p.close}
+	go func() {
+		defer close(s.ended)
+		p.take(first)
+		if err := p.run(ctx); err != nil && ctx.Err() == nil && !p.closed() {
+			_ = level.Warn(x.cfg.Logger).Log("msg", "subscription ended", "sibling", v.ID, "err", err)
+			x.cfg.Client.Drop(v.Address)
+		}
+	}()
+	return s, nil
+}
+
+// HandleSubscription implements sibling.NewsHandler.
+func (x *Exchange) HandleSubscription(sub *siblingpb.Subscribe, stream *sibling.NewsStream) {
+	p := newPeer(x, fleet.VM{ID: sub.GetVmId(), FailureDomain: sub.GetFailureDomain(), Region: sub.GetRegion()}, stream)
+	p.subscriber = true
+	if err := p.run(context.Background()); err != nil {
+		_ = level.Debug(x.cfg.Logger).Log("msg", "subscriber left", "sibling", p.vm.ID, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,216 @@
+// Package placement decides where a request goes, whether it waits, and when it
+// is refused. It answers one load: backend servers with few slots whose speed
+// changes within tens of milliseconds, while readings of them are slightly old.
+// A request is better held for a moment than sent to a slow server, and better
+// refused than held until its caller has given up.
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// queueAtServer is the number of requests that may wait at a server beyond
+	// its slots. Each further one is served after another of unknown length.
+	queueAtServer = 1
+	// lastSlotFactor is the slowdown assumed for the last free slot of a server:
+	// some servers work slower when they are nearly full.
+	lastSlotFactor = 1.3
+	// failureFactor scales the estimate by the share of recent failures.
+	failureFactor = 4
+	// unhealthyFactor scales the estimate of a server that says it is not well:
+	// such answers can be false.
+	unhealthyFactor = 2
+	// staleAfter is the age from which a reading says nothing about speed and
+	// slots: several intervals at which servers change.
+	staleAfter = 700 * time.Millisecond
+	// meanSlowdown is assumed for servers without a fresh reading.
+	meanSlowdown = 2
+	// tieMargin is the relative difference below which two estimates are equal.
+	// VMs that decide at the same moment then spread over equal servers.
+	tieMargin = 0.08
+	// deadlineMargin is left for the way back to the caller.
+	deadlineMargin = 10 * time.Millisecond
+	// pessimism is how much longer than estimated the work of a late request
+	// may take.
+	pessimism = 1.2
+)
+
+// Distance is how far a server is away.
+type Distance uint8
+
+// Distances.
+const (
+	SameDomain Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Candidate is a server that may serve the request.
+type Candidate struct {
+	ID       string
+	Distance Distance
+	Slots    int
+	Busy     int // requests at the server
+	Slowdown float64
+	Age      time.Duration // of the reading
+	// Blocked is true if the server must not get the request now, for instance
+	// because it is cold and has had its share of this second.
+	Blocked      bool
+	Unhealthy    bool
+	FailureShare float64
+}
+
+// Request is what the decision has to know of a request.
+type Request struct {
+	// Work is the usual time that a server works on it.
+	Work     time.Duration
+	Goal     time.Time // until then the answer is worth most
+	Deadline time.Time // afterwards it is worth nothing
+}
+
+// Costs are the time that a farther server must win to be chosen.
+type Costs struct {
+	SameRegion  time.Duration
+	OtherRegion time.Duration
+}
+
+func (c Costs) of(d Distance) time.Duration {
+	switch d {
+	case SameRegion:
+		return c.SameRegion
+	case OtherRegion:
+		return c.OtherRegion
+	default:
+		return 0
+	}
+}
+
+// Action is what to do with a request.
+type Action uint8
+
+// Actions.
+const (
+	Wait Action = iota
+	Send
+	Refuse
+)
+
+// Reason says why a request waits or is refused.
+type Reason string
+
+// Reasons.
+const (
+	NoServer   Reason = "no-server"   // none may serve it
+	TooLate    Reason = "too-late"    // none can answer by the deadline
+	AllFull    Reason = "all-full"    // all slots are in use
+	OnlySlow   Reason = "only-slow"   // a faster server may come free in time
+	GoodEnough Reason = "good-enough" // meets the goal
+	LateButRun Reason = "late-but-run"
+)
+
+// Decision is the outcome of Decide.
+type Decision struct {
+	Action   Action
+	Index    int // of the chosen candidate
+	Estimate time.Duration
+	Reason   Reason
+}
+
+// Decide chooses among candidates. draw is in [0, 1) and picks among equals.
+func Decide(now time.Time, r Request, candidates []Candidate, costs Costs, draw float64) Decision {
+	best, bestTime, usable := choose(r, candidates, costs, draw)
+	if !usable {
+		return Decision{Action: Refuse, Reason: NoServer}
+	}
+	goalLeft := r.Goal.Sub(now)
+	left := r.Deadline.Sub(now) - deadlineMargin
+	if best >= 0 && bestTime <= goalLeft {
+		return Decision{Action: Send, Index: best, Estimate: bestTime, Reason: GoodEnough}
+	}
+	if left <= 0 || r.Work > left {
+		return Decision{Action: Refuse, Reason: TooLate}
+	}
+	if goalLeft >= r.Work {
+		// A server that is free and as fast as usual would still meet the goal.
+		return Decision{Action: Wait, Reason: waitReason(best), Estimate: bestTime}
+	}
+	if best < 0 {
+		return Decision{Action: Wait, Reason: AllFull}
+	}
+	if time.Duration(float64(bestTime)*pessimism) <= left {
+		return Decision{Action: Send, Index: best, Estimate: bestTime, Reason: LateButRun}
+	}
+	return Decision{Action: Wait, Reason: OnlySlow, Estimate: bestTime}
+}
+
+func waitReason(best int) Reason {
+	if best < 0 {
+		return AllFull
+	}
+	return OnlySlow
+}
+
+// choose returns the candidate with the shortest estimate, or -1 if all are
+// full. usable is false if no candidate may serve the request at all.
+func choose(r Request, candidates []Candidate, costs Costs, draw float64) (best int, estimate time.Duration, usable bool) {
+	best = -1
+	shortest := math.Inf(1)
+	ties := 0
+	for i, c := range candidates {
+		usable = true
+		if c.Blocked || c.Busy >= c.Slots+queueAtServer {
+			continue
+		}
+		e := float64(Estimate(r.Work, c) + costs.of(c.Distance))
+		switch {
+		case e < shortest*(1-tieMargin):
+			best, shortest, ties = i, e, 1
+		case e <= shortest*(1+tieMargin):
+			// Reservoir choice among equals, from one draw.
+			ties++
+			draw *= float64(ties)
+			if int(draw) == 0 {
+				best, shortest = i, min(e, shortest)
+			}
+			draw -= math.Floor(draw)
+		}
+	}
+	if best < 0 {
+		return -1, 0, usable
+	}
+	return best, Estimate(r.Work, candidates[best]), usable
+}
+
+// Estimate returns the time from sending to c until its answer is complete.
+func Estimate(work time.Duration, c Candidate) time.Duration {
+	slowdown := max(c.Slowdown, 1)
+	if c.Age > staleAfter {
+		slowdown = max(meanSlowdown, slowdown)
+	}
+	t := float64(work) * slowdown
+	switch slots := max(c.Slots, 1); {
+	case c.Busy >= slots:
+		t += t * float64(c.Busy-slots+1) / float64(slots)
+		t *= lastSlotFactor
+	case c.Busy == slots-1 && slots > 1:
+		t *= lastSlotFactor
+	}
+	if c.Unhealthy {
+		t *= unhealthyFactor
+	}
+	return time.Duration(t * (1 + failureFactor*c.FailureShare))
+}
+
+// RetryAfter returns when a refused caller should come back. Callers wait up to a
+// third of their time; the spread keeps those that were refused together from
+// returning together. draw is in [0, 1).
+func RetryAfter(left time.Duration, draw float64) time.Duration {
+	const (
+		shortest = 50 * time.Millisecond // a slot comes free in about this time
+		share    = 1.0 / 3               // of the time left
+	)
+	longest := max(time.Duration(float64(left)*share), shortest)
+	return shortest + time.Duration(draw*float64(longest-shortest))
+}
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Entry are the start settings of an entry VM on the users' platform. All else
+// comes from the platform's own settings file and its store.
+type Entry struct {
+	// NodeFile is the path of the platform's settings file of this VM.
+	// Required.
+	NodeFile string `arg:"--node-file,required,env:NODE_FILE" help:"path of the platform's settings file"`
+	// MetricsListen is the address for metrics and the state dump. IP address
+	// and port. Default: not served.
+	MetricsListen string `arg:"--metrics-listen,env:METRICS_LISTEN" help:"address for metrics and the state dump (IP:port)"`
+	// LogFormat is logfmt or json. Default: logfmt.
+	LogFormat string `arg:"--log-format,env:LOG_FORMAT" default:"logfmt" help:"logfmt or json"`
+}
+
+// ParseEntry reads args, without the names of the program and the command, and
+// the environment. It returns ErrHelp after the usage was written to usage.
+func ParseEntry(args []string, usage io.Writer) (Entry, error) {
+	var e Entry
+	p, err := arg.NewParser(arg.Config{Program: "goldcresthinged entry", EnvPrefix: EnvPrefix}, &e)
+	if err != nil {
+		return Entry{}, err
+	}
+	if err := p.Parse(args); err != nil {
+		if errors.Is(err, arg.ErrHelp) {
+			p.WriteHelp(usage)
+			return Entry{}, ErrHelp
+		}
+		return Entry{}, err
+	}
+	if e.LogFormat != "logfmt" && e.LogFormat != "json" {
+		return Entry{}, fmt.Errorf("--log-format (%sLOG_FORMAT): %q is neither logfmt nor json", EnvPrefix, e.LogFormat)
+	}
+	return e, nil
+}
--- a/internal/sibling/server.go
+++ b/internal/sibling/server.go
@@ -134,6 +134,12 @@
 			cancel()
 			return
 		}
+		if sub := req.GetSubscribe(); sub != nil && first {
+			if h, ok := s.handler.(NewsHandler); ok {
+				h.HandleSubscription(sub, &NewsStream{st: st})
+			}
+			return
+		}
 		if req.GetForward() == nil {
 			if first {
 				if resp := s.handler.HandleControl(ctx, req); resp != nil {
