Measure backend servers in the rhythm of their speed and share requests in progress

Ruled out: hedged sends as the remedy, since half of the requests may not run twice. Change: package cadence learns period and phase and places measurements right after each change; readings carry how long they hold; VMs tell each other requests in progress; far readings are sent only on change.

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -27,6 +27,21 @@
 // Another region adds two crossings of the link, whose bytes are dear.
 var costs = placement.Costs{SameRegion: 8 * time.Millisecond, OtherRegion: 200 * time.Millisecond}
 
+// travelTime is the time of a request to a server, and newsLag the time from a
+// change of a server's speed until this VM knows it, by distance: the one way of
+// the users' sites (0.2, 1 and 12 ms), a measurement after the change, and the
+// gaps between messages.
+var (
+	travelTime = [...]time.Duration{
+		placement.SameDomain: time.Millisecond, placement.SameRegion: 2 * time.Millisecond,
+		placement.OtherRegion: 13 * time.Millisecond,
+	}
+	newsLag = [...]time.Duration{
+		placement.SameDomain: 12 * time.Millisecond, placement.SameRegion: 20 * time.Millisecond,
+		placement.OtherRegion: 35 * time.Millisecond,
+	}
+)
+
 // candidates supplies placement with servers. It implements waiting.Fleet and
 // front.Fleet.
 type candidates struct {
@@ -34,6 +49,7 @@
 	duties *duties
 	bounds func() platform.Bounds
 	routes func() *routing.Table
+	poke   func() // tells siblings of changes
 
 	buf sync.Pool // *[]fleet.View
 }
@@ -55,10 +71,12 @@
 			slices.Contains(a.Tried, v.Server.ID) {
 			continue
 		}
+		distance := c.distance(v.Server.FailureDomain, region)
 		out = append(out, placement.Candidate{
-			ID: v.Server.ID, Distance: c.distance(v.Server.FailureDomain, region),
+			ID: v.Server.ID, Distance: distance,
 			Slots: v.Server.Slots, Busy: v.Busy, Slowdown: v.Reading.Load.Slowdown,
-			Age: now.Sub(v.Reading.At), Blocked: c.blocked(now, v),
+			SpeedKnown: v.Reading.SpeedKnown(now, now.Add(travelTime[distance]), newsLag[distance]),
+			Age:        now.Sub(v.Reading.At), Blocked: c.blocked(now, v),
 			Unhealthy: v.Reading.Health == fleet.Unhealthy, FailureShare: v.FailureShare,
 		})
 	}
@@ -106,7 +124,10 @@
 }
 
 // Sent implements waiting.Fleet.
-func (c *candidates) Sent(server string, now time.Time) { c.world.fleet.Sent(server, now) }
+func (c *candidates) Sent(server string, now time.Time) {
+	c.world.fleet.Sent(server, now)
+	c.poke()
+}
 
 // Server implements front.Fleet.
 func (c *candidates) Server(id string) (fleet.Server, bool) { return c.world.fleet.Server(id) }
@@ -114,6 +135,7 @@
 // Ended implements front.Fleet.
 func (c *candidates) Ended(id string, now time.Time, r fleet.Result) {
 	c.world.fleet.Ended(id, now, r)
+	c.poke()
 }
 
 // ObserveSlowdown implements front.Fleet.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -167,16 +167,19 @@
 	seen := news.NewSeen()
 	e.exchange = news.New(news.Config{
 		Self: e.self, Servers: e.world.fleet, Tables: e.world.tables(), Seen: seen, Client: e.client,
-		VMs: e.world.VMs, Changed: e.newsArrived, Logger: logger,
+		VMs: e.world.VMs, Changed: e.newsArrived, Needed: e.world.needed, Logger: logger,
 	})
 	work := &duties{}
-	fl := &candidates{world: e.world, duties: work, bounds: func() platform.Bounds { return e.node.Load().Bounds }, routes: e.world.routes.Load}
+	fl := &candidates{world: e.world, duties: work, bounds: func() platform.Bounds { return e.node.Load().Bounds }, routes: e.world.routes.Load, poke: e.exchange.Poke}
 	e.room = waiting.NewRoom(fl, costs)
 	e.measurer = &measurer{
 		world: e.world, seen: seen, duties: work, pool: e.pool, proto: platform.Headers{}, routes: e.world.routes.Load,
 		workers: pond.NewPool(probeWorkers, pond.WithQueueSize(probeWorkers), pond.WithNonBlocking(true)),
-		wake:    e.room.Wake, log: log.With(logger, "part", "measure"),
-		next: map[string]time.Time{}, busy: map[string]bool{},
+		changed: func() {
+			e.exchange.Poke()
+			e.room.Wake()
+		},
+		log: log.With(logger, "part", "measure"), followed: map[string]*follower{}, done: make(chan struct{}, 1),
 	}
 	e.buildReaders(logger)
 	e.buildServers(fl, logger)
@@ -186,7 +189,7 @@
 func (e *Entry) buildReaders(logger log.Logger) {
 	logger = log.With(logger, "part", "reader")
 	for _, t := range e.world.tables() {
-		r := &reader{table: t, store: e.store, exchange: e.exchange, factor: 1, changed: e.newsArrived, log: logger}
+		r := &reader{table: t, store: e.store, exchange: e.exchange, factor: 1, changed: func() { e.newsArrived(true) }, log: logger}
 		switch t {
 		case e.world.operator:
 			r.wait = changeWait
@@ -238,8 +241,10 @@
 
 // newsArrived takes in changes of the copies and decides again on waiting
 // requests.
-func (e *Entry) newsArrived() {
-	e.world.refresh(time.Now())
+func (e *Entry) newsArrived(tables bool) {
+	if tables {
+		e.world.refresh(time.Now())
+	}
 	e.room.Wake()
 }
 
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -12,22 +12,25 @@
 	"github.com/go-kit/log/level"
 
 	"goldcresthinge.example/goldcresthinge/internal/backend"
+	"goldcresthinge.example/goldcresthinge/internal/cadence"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/news"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
 )
 
 const (
-	// probeInterval is the pause between two measurements of a server. Servers
-	// change speed about every 150 ms.
-	probeInterval = 50 * time.Millisecond
 	// probeTimeout bounds one measurement. A living server answers at once.
 	probeTimeout = 250 * time.Millisecond
+	// leastPause and longestPause bound the time between the ends and starts of
+	// two measurements of a server.
+	leastPause   = 2 * time.Millisecond
+	longestPause = 300 * time.Millisecond
 	// missesUntilUnreachable is the number of measurements in a row without an
 	// answer from which a server gets no requests.
 	missesUntilUnreachable = 2
-	// unreachablePause is the pause between two measurements of a server that
-	// does not answer.
+	// missPause is the pause after the first measurement without an answer, and
+	// unreachablePause that after further ones.
+	missPause        = 30 * time.Millisecond
 	unreachablePause = 200 * time.Millisecond
 	// dutyInterval is the pause between two looks at who measures what.
 	dutyInterval = 100 * time.Millisecond
@@ -42,84 +45,110 @@
 	proto   backend.Protocol
 	routes  func() *routing.Table
 	workers pond.Pool
-	wake    func()
+	changed func() // called after a reading that placement or siblings want
 	log     log.Logger
 
-	mu   sync.Mutex
-	next map[string]time.Time // time of the next measurement; running ones are absent
-	busy map[string]bool
+	mu       sync.Mutex
+	followed map[string]*follower
+	done     chan struct{} // capacity 1: a measurement has ended
+}
+
+// follower is the state of one measured server.
+type follower struct {
+	server  fleet.Server
+	tracker cadence.Tracker
+	next    time.Time
+	busy    bool
 }
 
 // run measures until ctx ends.
 func (m *measurer) run(ctx context.Context) error {
-	tick := time.NewTicker(probeInterval / 2)
-	defer tick.Stop()
-	var mine []fleet.Server
 	var nextDuties time.Time
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
+		case <-timer.C:
+		case <-m.done:
 		}
 		now := time.Now()
 		if !now.Before(nextDuties) {
 			nextDuties = now.Add(dutyInterval)
-			mine = m.assign(now)
+			m.assign(now)
 		}
-		for _, s := range mine {
-			m.start(ctx, now, s)
+		next := m.startDue(ctx, now)
+		if nextDuties.Before(next) {
+			next = nextDuties
 		}
+		timer.Reset(max(time.Until(next), 0))
 	}
 }
 
-func (m *measurer) assign(now time.Time) []fleet.Server {
+func (m *measurer) assign(now time.Time) {
 	alive := m.seen.Filter(m.world.VMs(), now)
 	mine := assign(m.world.self, alive, m.world.fleet.Servers(), m.world.Region)
 	set := make(map[string]bool, len(mine))
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, s := range mine {
 		set[s.ID] = true
+		f, ok := m.followed[s.ID]
+		if !ok || f.server.Address != s.Address || f.server.Incarnation != s.Incarnation {
+			m.followed[s.ID] = &follower{server: s, next: now}
+			continue
+		}
+		f.server = s
 	}
-	m.duties.set(set)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for id := range m.next {
+	for id := range m.followed {
 		if !set[id] {
-			delete(m.next, id)
+			delete(m.followed, id)
 		}
 	}
-	return mine
+	m.duties.set(set)
 }
 
-// start measures s if it is due.
-func (m *measurer) start(ctx context.Context, now time.Time, s fleet.Server) {
+// startDue starts the measurements that are due and returns the time of the
+// next one.
+func (m *measurer) startDue(ctx context.Context, now time.Time) time.Time {
+	next := now.Add(dutyInterval)
 	routes := m.routes()
 	if routes == nil {
-		return
-	}
-	svc, ok := routes.Service(s.Service)
-	if !ok || svc.HealthPath == "" {
-		return
+		return next
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.busy[s.ID] || now.Before(m.next[s.ID]) {
-		return
-	}
-	m.busy[s.ID] = true
-	m.next[s.ID] = now.Add(probeInterval)
-	if _, ok := m.workers.TrySubmit(func() { m.measure(ctx, s, svc.HealthPath) }); !ok {
-		delete(m.busy, s.ID)
+	for _, f := range m.followed {
+		if f.busy {
+			continue
+		}
+		if now.Before(f.next) {
+			if f.next.Before(next) {
+				next = f.next
+			}
+			continue
+		}
+		svc, ok := routes.Service(f.server.Service)
+		if !ok || svc.HealthPath == "" {
+			f.next = now.Add(longestPause)
+			continue
+		}
+		if _, ok := m.workers.TrySubmit(func() { m.measure(ctx, f, f.server, svc.HealthPath) }); ok {
+			f.busy = true
+		}
 	}
+	return next
 }
 
-func (m *measurer) measure(ctx context.Context, s fleet.Server, path string) {
+func (m *measurer) measure(ctx context.Context, f *follower, s fleet.Server, path string) {
 	sent := time.Now()
 	answer, err := m.pool.Probe(ctx, m.proto, s, path, probeTimeout)
+	received := time.Now()
 	if ctx.Err() != nil {
 		return
 	}
-	before := m.latest(s.ID)
+	before, _ := m.world.fleet.Reading(s.ID)
 	r := fleet.Reading{At: sent, Load: before.Load, ColdFor: answer.ColdFor}
 	switch {
 	case err != nil:
@@ -136,22 +165,44 @@
 	if answer.Load != nil {
 		r.Load = *answer.Load
 	}
-	m.mu.Lock()
-	delete(m.busy, s.ID)
-	if r.Health == fleet.Unreachable {
-		m.next[s.ID] = sent.Add(unreachablePause)
-	}
-	m.mu.Unlock()
+	m.schedule(f, &r, sent, received, err == nil && answer.Load != nil)
 	if before.Health != r.Health || before.Cold(sent) != r.Cold(sent) {
 		_ = level.Info(m.log).Log("msg", "server measured", "server", s.ID, "health", r.Health, "was", before.Health,
 			"cold_ms", r.ColdFor.Milliseconds(), "misses", r.Misses, "err", err)
 	}
 	if m.world.fleet.Observe(s.ID, r) {
-		m.wake()
+		m.changed()
 	}
 }
 
-func (m *measurer) latest(id string) fleet.Reading {
-	r, _ := m.world.fleet.Reading(id)
-	return r
+// schedule sets the time of the next measurement, and until when the speed of r
+// holds.
+func (m *measurer) schedule(f *follower, r *fleet.Reading, sent, received time.Time, loadKnown bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f.busy = false
+	switch {
+	case r.Misses >= missesUntilUnreachable || r.Health == fleet.Unreachable:
+		f.next = received.Add(unreachablePause)
+	case r.Misses > 0:
+		f.next = received.Add(missPause)
+	default:
+		if loadKnown {
+			f.tracker.Observe(sent, received, r.Load.Slowdown)
+		}
+		f.next = f.tracker.Next(received)
+		if f.next.Before(received.Add(leastPause)) {
+			f.next = received.Add(leastPause)
+		}
+		if latest := received.Add(longestPause); f.next.After(latest) {
+			f.next = latest
+		}
+	}
+	if until, ok := f.tracker.ValidUntil(); ok {
+		r.ValidUntil, r.Period = until, f.tracker.Period()
+	}
+	select {
+	case m.done <- struct{}{}:
+	default:
+	}
 }
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -68,7 +68,9 @@
 }
 
 // HandleControl implements sibling.Handler.
-func (siblingHandler) HandleControl(context.Context, *siblingpb.Request) *siblingpb.Response { return nil }
+func (siblingHandler) HandleControl(context.Context, *siblingpb.Request) *siblingpb.Response {
+	return nil
+}
 
 // processMemory returns the memory that the runtime holds, for the dump.
 func processMemory() uint64 {
--- a/internal/entry/world.go
+++ b/internal/entry/world.go
@@ -87,6 +87,14 @@
 // VMs returns the registered VMs, this one included.
 func (w *world) VMs() []fleet.VM { return *w.vms.Load() }
 
+// needed reports whether requests that arrive in region may have to go to
+// servers of a service in this VM's region, because a route of the service is
+// bound to regions other than theirs.
+func (w *world) needed(service, region string) bool {
+	routes := w.routes.Load()
+	return routes != nil && routes.BoundAway(service, region)
+}
+
 // Evacuated reports whether operators took a failure domain out of service.
 func (w *world) Evacuated(domain string) bool { return (*w.evacuated.Load())[domain] }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,6 +72,10 @@
 	ColdFor time.Duration
 	// Misses is the number of measurements in a row without an answer.
 	Misses int
+	// ValidUntil is when the speed may change next, and Period the interval of
+	// later changes. Period is zero if the server follows no known rhythm.
+	ValidUntil time.Time
+	Period     time.Duration
 	// Source is the sibling that the reading came from. Empty: this VM.
 	Source string
 }
@@ -81,6 +85,21 @@
 	return r.ColdFor > 0 && now.Before(r.At.Add(r.ColdFor))
 }
 
+// SpeedKnown reports whether the speed of the reading still holds for a request
+// that arrives at the server at arrival. A change is known lag after it happened;
+// without news of one, the speed has stayed.
+func (r Reading) SpeedKnown(now, arrival time.Time, lag time.Duration) bool {
+	if r.Period <= 0 {
+		return false
+	}
+	latest := r.ValidUntil // the latest change that was due
+	if now.Before(latest) {
+		return arrival.Before(latest)
+	}
+	latest = latest.Add(now.Sub(latest) / r.Period * r.Period)
+	return !now.Before(latest.Add(lag)) && arrival.Before(latest.Add(r.Period))
+}
+
 // VM is an entry VM as it registered itself.
 type VM struct {
 	ID            string
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// settleTime is the time between the send of a measurement and the moment
-	// at the server that it describes: about one way within a region.
-	settleTime = time.Millisecond
 	// quarantineAfter is the number of failures in a row after which a server
 	// gets a pause.
 	quarantineAfter = 3
@@ -35,9 +32,12 @@
 	reading Reading
 	changed uint64 // value of Table.changes at the last change of the reading
 
-	inFlight int     // own requests at the server
-	events   []event // own sends and ends that the reading does not contain
-	cold     window  // own sends while cold
+	inFlight int            // own requests at the server
+	others   map[string]int // requests of siblings, by the peer that told
+	// foreign is the number of requests at the latest reading that neither this
+	// VM nor a sibling accounts for: those of other regions.
+	foreign int
+	cold    window // own sends while cold
 
 	failures      int // in a row
 	failureShare  float64
@@ -45,11 +45,6 @@
 	quarantineFor time.Duration
 }
 
-type event struct {
-	at    time.Time
-	delta int
-}
-
 // window counts events within the last second.
 type window struct{ at []time.Time }
 
@@ -124,12 +119,63 @@
 	st.reading = r
 	t.changes++
 	st.changed = t.changes
-	st.forget(r.At.Add(settleTime))
+	st.foreign = max(r.Load.Running+r.Load.Waiting-st.inFlight-st.byOthers(), 0)
 	return true
 }
 
-func (st *state) forget(before time.Time) {
-	st.events = slices.DeleteFunc(st.events, func(e event) bool { return !e.at.After(before) })
+func (st *state) byOthers() int {
+	n := 0
+	for _, c := range st.others {
+		n += c
+	}
+	return n
+}
+
+// SetOthers records that the VMs behind a peer have n requests at a server.
+func (t *Table) SetOthers(peer, id string, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st, ok := t.servers[id]
+	if !ok {
+		return
+	}
+	if st.others == nil {
+		st.others = map[string]int{}
+	}
+	if n == 0 {
+		delete(st.others, peer)
+		return
+	}
+	st.others[peer] = n
+}
+
+// DropPeer forgets what a peer told of requests in progress.
+func (t *Table) DropPeer(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, st := range t.order {
+		delete(st.others, peer)
+	}
+}
+
+// InUse returns the requests in progress by server: those of this VM and of the
+// peers that include accepts. Servers without any are left out.
+func (t *Table) InUse(include func(peer string) bool) map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]int{}
+	for _, st := range t.order {
+		n := st.inFlight
+		for peer, c := range st.others {
+			if include(peer) {
+				n += c
+			}
+		}
+		if n > 0 {
+			out[st.server.ID] = n
+		}
+	}
+	return out
 }
 
 // ObserveSlowdown records the slowdown that a server stated in an answer.
@@ -150,7 +196,6 @@
 	defer t.mu.Unlock()
 	if st, ok := t.servers[id]; ok {
 		st.inFlight++
-		st.events = append(st.events, event{now, 1})
 		if st.reading.Cold(now) || st.reading.Health == Unmeasured {
 			st.cold.at = append(st.cold.at, now)
 		}
@@ -176,7 +221,6 @@
 		return
 	}
 	st.inFlight = max(st.inFlight-1, 0)
-	st.events = append(st.events, event{now, -1})
 	switch r {
 	case Succeeded:
 		st.failures, st.quarantineFor = 0, 0
@@ -197,8 +241,7 @@
 type View struct {
 	Server  Server
 	Reading Reading
-	// Busy is the estimated number of requests at the server: those of the
-	// reading and own ones since.
+	// Busy is the estimated number of requests at the server.
 	Busy     int
 	InFlight int // own requests
 	// SentInSecond counts own requests within the last second that were sent
@@ -232,13 +275,9 @@
 }
 
 func (st *state) view(now time.Time) View {
-	busy := st.reading.Load.Running + st.reading.Load.Waiting
-	for _, e := range st.events {
-		busy += e.delta
-	}
 	return View{
 		Server: st.server, Reading: st.reading,
-		Busy: max(busy, st.inFlight, 0), InFlight: st.inFlight,
+		Busy: st.inFlight + st.byOthers() + st.foreign, InFlight: st.inFlight,
 		SentInSecond: st.cold.count(now), FailureShare: st.failureShare,
 		Quarantined: now.Before(st.quarantined),
 	}
--- a/internal/news/codec.go
+++ b/internal/news/codec.go
@@ -12,21 +12,31 @@
 // percent is the scale of the slowdown in messages.
 const percent = 100
 
-func encodeReading(now time.Time, server string, r fleet.Reading) *siblingpb.ServerReading {
+func encodeReading(now time.Time, number uint32, r fleet.Reading) *siblingpb.ServerReading {
 	return &siblingpb.ServerReading{
-		Server: server, AgeMs: ageMs(now, r.At), Health: uint32(r.Health),
+		Number: number, AgeMs: ageMs(now, r.At), Health: uint32(r.Health),
 		Running: clamp(r.Load.Running), Waiting: clamp(r.Load.Waiting), Slots: clamp(r.Load.Slots),
 		SlowdownPercent: clamp(int(math.Round(r.Load.Slowdown * percent))),
 		ColdMs:          clamp(int(r.ColdFor.Milliseconds())), Misses: clamp(r.Misses),
+		ValidUs: clamp(int(validFor(now, r).Microseconds())), PeriodUs: clamp(int(r.Period.Microseconds())),
 	}
 }
 
+// validFor returns the time until the next change that is due.
+func validFor(now time.Time, r fleet.Reading) time.Duration {
+	left := r.ValidUntil.Sub(now)
+	if r.Period > 0 && left < 0 {
+		left = r.Period - (-left)%r.Period
+	}
+	return left
+}
+
 func decodeReading(now time.Time, m *siblingpb.ServerReading, source string) fleet.Reading {
 	health := fleet.Unmeasured
 	if h := m.GetHealth(); h <= uint32(fleet.Unreachable) {
 		health = fleet.Health(h)
 	}
-	return fleet.Reading{
+	out := fleet.Reading{
 		At: now.Add(-ms(m.GetAgeMs())), Health: health,
 		Load: fleet.Load{
 			Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
@@ -34,6 +44,11 @@
 		},
 		ColdFor: ms(m.GetColdMs()), Misses: int(m.GetMisses()), Source: source,
 	}
+	if m.GetPeriodUs() > 0 {
+		out.Period = time.Duration(m.GetPeriodUs()) * time.Microsecond
+		out.ValidUntil = now.Add(time.Duration(m.GetValidUs()) * time.Microsecond)
+	}
+	return out
 }
 
 func encodeTable(now time.Time, name string, c replica.Changes, asOf time.Time) *siblingpb.TableNews {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -27,12 +27,13 @@
 const (
 	// stepInterval is the pause between two looks at the links to other VMs.
 	stepInterval = 100 * time.Millisecond
-	// sendInterval is the pause between two messages to a VM of the same
-	// failure domain: a sixth of the interval at which servers change speed.
-	sendInterval = 25 * time.Millisecond
-	// farInterval is the same towards other failure domains, whose bytes are
-	// billed.
-	farInterval = 50 * time.Millisecond
+	// sendGap is the shortest pause between two messages to a VM of the same
+	// failure domain, and sendGapPerPeer the least for each VM that is sent to,
+	// which bounds the processor time of a relay.
+	sendGap        = 4 * time.Millisecond
+	sendGapPerPeer = time.Millisecond
+	// farGap is the same towards other failure domains, whose bytes are billed.
+	farGap = 12 * time.Millisecond
 	// refreshInterval is the longest pause between two messages, and between
 	// two full sets of readings within a failure domain.
 	refreshInterval = 250 * time.Millisecond
@@ -47,15 +48,18 @@
 
 // Config holds what an Exchange needs. All fields are required.
 type Config struct {
-	Self     fleet.VM
-	Servers  *fleet.Table
-	Tables   []*replica.Table
-	Seen     *Seen
-	Client   *sibling.Client
-	VMs      func() []fleet.VM // registered VMs, this one included
-	RegionOf func(domain string) string
-	// Changed is called after news were taken in.
-	Changed func()
+	Self    fleet.VM
+	Servers *fleet.Table
+	Tables  []*replica.Table
+	Seen    *Seen
+	Client  *sibling.Client
+	VMs     func() []fleet.VM // registered VMs, this one included
+	// Needed reports whether requests that arrive in region may have to go to
+	// servers of a service that stand in this VM's region.
+	Needed func(service, region string) bool
+	// Changed is called after news were taken in; tables tells whether a copy of
+	// a table was among them.
+	Changed func(tables bool)
 	Logger  log.Logger
 }
 
@@ -65,12 +69,15 @@
 	cfg   Config
 	relay atomic.Bool
 	links map[string]*link // by failure domain; used by Run only
+
+	mu    sync.Mutex
+	peers map[*peer]struct{}
 }
 
 // New returns an Exchange that does nothing before Run.
 func New(cfg Config) *Exchange {
 	cfg.Logger = log.With(cfg.Logger, "part", "news")
-	return &Exchange{cfg: cfg, links: map[string]*link{}}
+	return &Exchange{cfg: cfg, links: map[string]*link{}, peers: map[*peer]struct{}{}}
 }
 
 // Relay reports whether this VM is the relay of its failure domain.
@@ -90,6 +97,37 @@
 	return true
 }
 
+// Poke makes the Exchange send what has changed without waiting for the next
+// refresh. It never blocks.
+func (x *Exchange) Poke() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for p := range x.peers {
+		select {
+		case p.poked <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (x *Exchange) addPeer(p *peer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.peers[p] = struct{}{}
+}
+
+func (x *Exchange) removePeer(p *peer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.peers, p)
+}
+
+func (x *Exchange) peerCount() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.peers)
+}
+
 // Run keeps the links until ctx ends.
 func (x *Exchange) Run(ctx context.Context) error {
 	var steps sync.WaitGroup
--- a/internal/news/peer.go
+++ b/internal/news/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,9 +12,18 @@
 	"goldcresthinge.example/goldcresthinge/internal/sibling"
 )
 
-// farRefresh is the interval between two full sets of readings towards other
-// failure domains.
-const farRefresh = time.Second
+const (
+	// farRefresh is the interval between two full sets of readings towards other
+	// failure domains. In between, no news of a server means no change.
+	farRefresh = 3 * time.Second
+	// staleReading is the age from which a reading is not passed on: its
+	// measurer is lost.
+	staleReading = time.Second
+	// nearPrefix marks peers of the same failure domain among those that tell of
+	// requests in progress.
+	nearPrefix = "near/"
+	farPrefix  = "far/"
+)
 
 // peer is one end of a subscription.
 type peer struct {
@@ -22,6 +32,9 @@
 	stream     *sibling.NewsStream
 	subscriber bool // the peer subscribed at this VM
 	near       bool // the peer stands in the same failure domain
+	sameRegion bool
+	key        string        // names the peer among those that tell of requests
+	poked      chan struct{} // capacity 1
 
 	done chan struct{}
 	once sync.Once
@@ -34,6 +47,10 @@
 	lastFull    time.Time
 	lastMessage time.Time
 	sent        map[string]fleet.Reading
+	sentInUse   map[string]int
+	numbers     map[string]uint32
+
+	servers map[uint32]string // used by the receiver only
 }
 
 type tableState struct {
@@ -42,10 +59,16 @@
 }
 
 func newPeer(x *Exchange, v fleet.VM, stream *sibling.NewsStream) *peer {
-	return &peer{
+	p := &peer{
 		x: x, vm: v, stream: stream, near: v.FailureDomain == x.cfg.Self.FailureDomain,
+		sameRegion: v.Region == x.cfg.Self.Region, key: farPrefix + v.ID, poked: make(chan struct{}, 1),
 		done: make(chan struct{}), known: map[string]tableState{}, sent: map[string]fleet.Reading{},
+		sentInUse: map[string]int{}, numbers: map[string]uint32{}, servers: map[uint32]string{},
 	}
+	if p.near {
+		p.key = nearPrefix + v.ID
+	}
+	return p
 }
 
 func (p *peer) close() {
@@ -68,6 +91,11 @@
 func (p *peer) run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, p.close)
 	defer stop()
+	p.x.addPeer(p)
+	defer func() {
+		p.x.removePeer(p)
+		p.x.cfg.Servers.DropPeer(p.key)
+	}()
 	sendFailed := make(chan error, 1)
 	go func() {
 		sendFailed <- p.sendLoop()
@@ -105,11 +133,20 @@
 	for _, t := range m.GetTables() {
 		p.takeTable(now, t)
 	}
+	for _, n := range m.GetNumbers() {
+		p.servers[n.GetNumber()] = n.GetServer()
+	}
+	for _, u := range m.GetInUse() {
+		p.x.cfg.Servers.SetOthers(p.key, p.servers[u.GetNumber()], int(u.GetRequests()))
+	}
 	for _, r := range m.GetReadings() {
-		p.x.cfg.Servers.Observe(r.GetServer(), decodeReading(now, r, p.vm.ID))
+		p.x.cfg.Servers.Observe(p.servers[r.GetNumber()], decodeReading(now, r, p.vm.ID))
 	}
-	if len(m.GetTables()) > 0 || len(m.GetReadings()) > 0 {
-		p.x.cfg.Changed()
+	if len(m.GetTables()) > 0 || len(m.GetReadings()) > 0 || len(m.GetInUse()) > 0 {
+		p.x.cfg.Changed(len(m.GetTables()) > 0)
+		if len(m.GetReadings()) > 0 || len(m.GetInUse()) > 0 {
+			p.x.Poke() // a relay passes them on
+		}
 	}
 }
 
@@ -133,11 +170,7 @@
 }
 
 func (p *peer) sendLoop() error {
-	interval := farInterval
-	if p.near {
-		interval = sendInterval
-	}
-	tick := time.NewTicker(interval)
+	tick := time.NewTicker(refreshInterval)
 	defer tick.Stop()
 	for {
 		if m := p.next(time.Now()); m != nil {
@@ -145,9 +178,19 @@
 				return err
 			}
 		}
+		gap := farGap
+		if p.near {
+			gap = max(sendGap, time.Duration(p.x.peerCount())*sendGapPerPeer)
+		}
+		select {
+		case <-p.done:
+			return nil
+		case <-time.After(gap):
+		}
 		select {
 		case <-p.done:
 			return nil
+		case <-p.poked:
 		case <-tick.C:
 		}
 	}
@@ -158,8 +201,9 @@
 	m := &siblingpb.News{}
 	beat := now.Sub(p.lastMessage) >= refreshInterval
 	p.addReadings(now, m)
+	p.addInUse(m)
 	p.addTables(now, m, beat)
-	if len(m.Readings) == 0 && len(m.Tables) == 0 && !beat {
+	if len(m.Readings) == 0 && len(m.InUse) == 0 && len(m.Tables) == 0 && !beat {
 		return nil
 	}
 	if beat {
@@ -187,7 +231,7 @@
 	changed, state := p.x.cfg.Servers.ChangedSince(since)
 	p.sentChange = state
 	for _, c := range changed {
-		if c.Reading.At.IsZero() || c.Reading.Source == p.vm.ID || now.Sub(c.Reading.At) > farRefresh {
+		if c.Reading.At.IsZero() || c.Reading.Source == p.vm.ID || now.Sub(c.Reading.At) > staleReading {
 			continue
 		}
 		if !p.near && c.Server.FailureDomain != p.x.cfg.Self.FailureDomain {
@@ -196,32 +240,82 @@
 		if !p.subscriber && c.Reading.Source != "" {
 			continue // the relay has it already
 		}
-		if !full && !worthSending(p.sent[c.Server.ID], c.Reading, p.near) {
+		if !full && !p.worthSending(c) {
 			continue
 		}
 		p.sent[c.Server.ID] = c.Reading
-		m.Readings = append(m.Readings, encodeReading(now, c.Server.ID, c.Reading))
+		m.Readings = append(m.Readings, encodeReading(now, p.number(c.Server.ID, m), c.Reading))
+	}
+}
+
+// number returns the number of a server on this stream and announces new ones.
+func (p *peer) number(server string, m *siblingpb.News) uint32 {
+	n, ok := p.numbers[server]
+	if !ok {
+		n = uint32(len(p.numbers) + 1)
+		p.numbers[server] = n
+		m.Numbers = append(m.Numbers, &siblingpb.ServerNumber{Number: n, Server: server})
 	}
+	return n
 }
 
 // worthSending reports whether a reading differs from the one sent before in
-// something that placement uses. Towards other domains, each byte is billed, so
-// that the counts matter only when the server becomes full or empty.
-func worthSending(before, r fleet.Reading, near bool) bool {
+// something that placement uses. Towards other failure domains, each byte is
+// billed: there, readings without a change are left out, and towards another
+// region the counts as well unless the server becomes full or free.
+func (p *peer) worthSending(c fleet.Changed) bool {
+	before, r := p.sent[c.Server.ID], c.Reading
 	if before.Health != r.Health || (before.ColdFor > 0) != (r.ColdFor > 0) {
 		return true
 	}
+	if p.near {
+		return true
+	}
+	if !p.sameRegion && !p.x.cfg.Needed(c.Server.Service, p.vm.Region) {
+		return false
+	}
 	const step = 0.15 // relative change of speed that placement notices
 	if d := r.Load.Slowdown - before.Load.Slowdown; d > step*before.Load.Slowdown || -d > step*before.Load.Slowdown {
 		return true
 	}
-	if near {
-		return before.Load != r.Load
+	if (before.Period > 0) != (r.Period > 0) {
+		return true
 	}
 	full := func(l fleet.Load) bool { return l.Running+l.Waiting >= l.Slots }
 	return full(before.Load) != full(r.Load)
 }
 
+// addInUse adds changes of the requests in progress of this VM and those behind
+// it: a VM tells its own, a relay tells its VMs those of all others, and other
+// relays of the region those of its failure domain.
+func (p *peer) addInUse(m *siblingpb.News) {
+	if !p.sameRegion || (!p.near && !p.subscriber) {
+		return
+	}
+	now := p.x.cfg.Servers.InUse(func(peer string) bool {
+		switch {
+		case peer == p.key || !p.subscriber:
+			return false
+		case p.near:
+			return true
+		default:
+			return strings.HasPrefix(peer, nearPrefix)
+		}
+	})
+	for server, n := range now {
+		if p.sentInUse[server] != n {
+			p.sentInUse[server] = n
+			m.InUse = append(m.InUse, &siblingpb.InUse{Number: p.number(server, m), Requests: clamp(n)})
+		}
+	}
+	for server := range p.sentInUse {
+		if now[server] == 0 {
+			delete(p.sentInUse, server)
+			m.InUse = append(m.InUse, &siblingpb.InUse{Number: p.number(server, m)})
+		}
+	}
+}
+
 // addTables adds what the peer does not have of the tables.
 func (p *peer) addTables(now time.Time, m *siblingpb.News, beat bool) {
 	if p.vm.Region != p.x.cfg.Self.Region {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,11 +22,12 @@
 	// unhealthyFactor scales the estimate of a server that says it is not well:
 	// such answers can be false.
 	unhealthyFactor = 2
-	// staleAfter is the age from which a reading says nothing about speed and
-	// slots: several intervals at which servers change.
-	staleAfter = 700 * time.Millisecond
-	// meanSlowdown is assumed for servers without a fresh reading.
-	meanSlowdown = 2
+	// memory is the age at which a reading has lost most of its meaning for the
+	// speed: servers change it about every 150 ms.
+	memory = 150 * time.Millisecond
+	// meanSlowdown is assumed for servers of which the speed is not known: a
+	// third of the time five times slower than usual.
+	meanSlowdown = 2.2
 	// tieMargin is the relative difference below which two estimates are equal.
 	// VMs that decide at the same moment then spread over equal servers.
 	tieMargin = 0.08
@@ -53,8 +54,12 @@
 	Distance Distance
 	Slots    int
 	Busy     int // requests at the server
+	// Slowdown is how many times longer than usual work takes. It is fixed when
+	// the server starts with a request.
 	Slowdown float64
-	Age      time.Duration // of the reading
+	// SpeedKnown is true if Slowdown holds until the request arrives.
+	SpeedKnown bool
+	Age        time.Duration // of the reading
 	// Blocked is true if the server must not get the request now, for instance
 	// because it is cold and has had its share of this second.
 	Blocked      bool
@@ -185,11 +190,7 @@
 
 // Estimate returns the time from sending to c until its answer is complete.
 func Estimate(work time.Duration, c Candidate) time.Duration {
-	slowdown := max(c.Slowdown, 1)
-	if c.Age > staleAfter {
-		slowdown = max(meanSlowdown, slowdown)
-	}
-	t := float64(work) * slowdown
+	t := float64(work) * expectedSlowdown(c)
 	switch slots := max(c.Slots, 1); {
 	case c.Busy >= slots:
 		t += t * float64(c.Busy-slots+1) / float64(slots)
@@ -214,3 +215,13 @@
 	longest := max(time.Duration(float64(left)*share), shortest)
 	return shortest + time.Duration(draw*float64(longest-shortest))
 }
+
+// expectedSlowdown weighs the slowdown that was read with the mean.
+func expectedSlowdown(c Candidate) float64 {
+	read := max(c.Slowdown, 1)
+	if c.SpeedKnown {
+		return read
+	}
+	weight := math.Exp(-float64(c.Age) / float64(memory))
+	return read*weight + meanSlowdown*(1-weight)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -74,15 +74,22 @@
 type Table struct {
 	configuration *Configuration
 	byHost        map[string][]*Route // longest prefix first
+	boundTo       map[string][]*Route // routes with home regions, by service
 }
 
 // NewTable compiles c.
 func NewTable(c *Configuration) *Table {
-	t := &Table{configuration: c, byHost: map[string][]*Route{}}
+	t := &Table{configuration: c, byHost: map[string][]*Route{}, boundTo: map[string][]*Route{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := normalizeHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		if len(r.HomeRegions) == 0 {
+			continue
+		}
+		for _, b := range r.Backends {
+			t.boundTo[b.Service] = append(t.boundTo[b.Service], r)
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int {
@@ -107,22 +114,15 @@
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.configuration.Routes) }
 
-// HomeRegions returns the regions in which backend servers of a service are
-// allowed to serve at least one route. all is true if a route has no home
-// regions.
-func (t *Table) HomeRegions(service string) (regions []string, all bool) {
-	for _, r := range t.configuration.Routes {
-		for _, b := range r.Backends {
-			if b.Service != service {
-				continue
-			}
-			if len(r.HomeRegions) == 0 {
-				return nil, true
-			}
-			regions = append(regions, r.HomeRegions...)
+// BoundAway reports whether a route of a service is bound to regions of which
+// region is none.
+func (t *Table) BoundAway(service, region string) bool {
+	for _, r := range t.boundTo[service] {
+		if !slices.Contains(r.HomeRegions, region) {
+			return true
 		}
 	}
-	return regions, false
+	return false
 }
 
 // Match returns the route of host with the longest prefix of path.
