--- /dev/null
+++ b/internal/fleet/table_test.go
@@ -0,0 +1,122 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func newTable() *fleet.Table {
+	t := fleet.NewTable()
+	t.SetServers([]fleet.Server{{ID: "s", Service: "svc", Address: "10.0.0.1:1", Slots: 2, Incarnation: 1}})
+	return t
+}
+
+func view(t *testing.T, table *fleet.Table, now time.Time) fleet.View {
+	t.Helper()
+	views := table.Views(nil, "svc", now)
+	if len(views) != 1 {
+		t.Fatalf("%d servers", len(views))
+	}
+	return views[0]
+}
+
+// Guards against an old reading of a sibling that replaces a newer one.
+func TestObserveKeepsTheNewest(t *testing.T) {
+	table := newTable()
+	table.Observe("s", fleet.Reading{At: at(10), Health: fleet.Healthy, Load: fleet.Load{Slowdown: 5}})
+	if table.Observe("s", fleet.Reading{At: at(5), Health: fleet.Healthy, Load: fleet.Load{Slowdown: 1}}) {
+		t.Error("an older reading was taken")
+	}
+	if v := view(t, table, at(20)); v.Reading.Load.Slowdown != 5 {
+		t.Errorf("slowdown %v", v.Reading.Load.Slowdown)
+	}
+}
+
+// Guards against requests that are counted twice: by the server's own count and
+// by the VMs that sent them.
+func TestBusyCountsEachRequestOnce(t *testing.T) {
+	table := newTable()
+	table.Sent("s", at(0))
+	table.SetOthers("near/vm-2", "s", 1)
+	// One request of the three comes from another region.
+	table.Observe("s", fleet.Reading{At: at(1), Health: fleet.Healthy, Load: fleet.Load{Running: 2, Waiting: 1}})
+	if v := view(t, table, at(2)); v.Busy != 3 {
+		t.Errorf("busy %d, want 3", v.Busy)
+	}
+	table.Sent("s", at(3))
+	table.SetOthers("near/vm-2", "s", 0)
+	if v := view(t, table, at(4)); v.Busy != 3 {
+		t.Errorf("busy %d after one more and one less, want 3", v.Busy)
+	}
+	table.Ended("s", at(5), fleet.Succeeded)
+	table.Ended("s", at(6), fleet.Succeeded)
+	if v := view(t, table, at(7)); v.Busy != 1 {
+		t.Errorf("busy %d with one foreign request, want 1", v.Busy)
+	}
+}
+
+// Guards against requests in progress of a lost sibling that block its servers.
+func TestDropPeerForgetsItsRequests(t *testing.T) {
+	table := newTable()
+	table.SetOthers("near/vm-2", "s", 2)
+	table.DropPeer("near/vm-2")
+	if v := view(t, table, at(1)); v.Busy != 0 {
+		t.Errorf("busy %d", v.Busy)
+	}
+}
+
+// Guards against a restarted server that keeps the state of its former start.
+func TestNewIncarnationStartsAnew(t *testing.T) {
+	table := newTable()
+	table.Observe("s", fleet.Reading{At: at(1), Health: fleet.Healthy})
+	table.SetServers([]fleet.Server{{ID: "s", Service: "svc", Address: "10.0.0.1:1", Slots: 2, Incarnation: 2}})
+	if v := view(t, table, at(2)); v.Reading.Health != fleet.Unmeasured {
+		t.Errorf("health %v", v.Reading.Health)
+	}
+}
+
+// Guards against a server that keeps failing requests and keeps getting them.
+func TestFailuresInARowPauseAServer(t *testing.T) {
+	table := newTable()
+	for i := range 3 {
+		table.Sent("s", at(i))
+		table.Ended("s", at(i), fleet.Failed)
+	}
+	if !view(t, table, at(10)).Quarantined {
+		t.Error("not paused after three failures")
+	}
+	if view(t, table, at(2+500)).Quarantined {
+		t.Error("still paused after the first pause")
+	}
+}
+
+// Guards against a speed that is taken for known while a change is due, and for
+// unknown between changes.
+func TestSpeedKnownBetweenChanges(t *testing.T) {
+	r := fleet.Reading{At: at(0), ValidUntil: at(100), Period: 150 * time.Millisecond}
+	const lag = 20 * time.Millisecond
+	for _, c := range []struct {
+		now, arrival int
+		want         bool
+	}{
+		{50, 60, true},
+		{95, 105, false},  // arrives after the change
+		{110, 112, false}, // the change may not be known yet
+		{121, 123, true},  // no news: no change
+		{245, 255, false},
+		{421, 430, true}, // two periods later
+	} {
+		if got := r.SpeedKnown(at(c.now), at(c.arrival), lag); got != c.want {
+			t.Errorf("now %d, arrival %d: %v, want %v", c.now, c.arrival, got, c.want)
+		}
+	}
+	if (fleet.Reading{}).SpeedKnown(at(1), at(1), lag) {
+		t.Error("known without a rhythm")
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -113,6 +113,7 @@
 	OnlySlow   Reason = "only-slow"   // a faster server may come free in time
 	GoodEnough Reason = "good-enough" // meets the goal
 	LateButRun Reason = "late-but-run"
+	Overload   Reason = "overload" // waited in vain for a slot
 )
 
 // Decision is the outcome of Decide.
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,102 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/placement"
+)
+
+const work = 100 * time.Millisecond
+
+var (
+	start = time.Unix(1000, 0)
+	costs = placement.Costs{SameRegion: 8 * time.Millisecond, OtherRegion: 200 * time.Millisecond}
+)
+
+func request(goal, deadline time.Duration) placement.Request {
+	return placement.Request{Work: work, Goal: start.Add(goal), Deadline: start.Add(deadline)}
+}
+
+func server(id string, change func(*placement.Candidate)) placement.Candidate {
+	c := placement.Candidate{ID: id, Slots: 2, Slowdown: 1, SpeedKnown: true}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+func slow(c *placement.Candidate)    { c.Slowdown = 5 }
+func full(c *placement.Candidate)    { c.Busy = 3 }
+func blocked(c *placement.Candidate) { c.Blocked = true }
+
+func TestDecide(t *testing.T) {
+	for _, c := range []struct {
+		guards     string
+		request    placement.Request
+		candidates []placement.Candidate
+		action     placement.Action
+		id         string
+	}{
+		{"sending to a slow server beside a fast one", request(300*time.Millisecond, time.Second),
+			[]placement.Candidate{server("slow", slow), server("fast", nil)}, placement.Send, "fast"},
+		{"sending to a slow server although a fast one may come free in time", request(300*time.Millisecond, time.Second),
+			[]placement.Candidate{server("slow", slow), server("full", full)}, placement.Wait, ""},
+		{"holding a request that cannot meet its goal any more", request(50*time.Millisecond, time.Second),
+			[]placement.Candidate{server("slow", slow)}, placement.Send, "slow"},
+		{"holding a request until its deadline although no server may serve it", request(300*time.Millisecond, time.Second),
+			nil, placement.Refuse, ""},
+		{"holding a request that no server can answer in time", request(10*time.Millisecond, 60*time.Millisecond),
+			[]placement.Candidate{server("full", full)}, placement.Refuse, ""},
+		{"sending to a cold server that has had its share", request(300*time.Millisecond, time.Second),
+			[]placement.Candidate{server("cold", blocked)}, placement.Wait, ""},
+		{"paying for another region without winning time", request(300*time.Millisecond, time.Second),
+			[]placement.Candidate{
+				server("far", func(c *placement.Candidate) { c.Distance = placement.OtherRegion }),
+				server("near", func(c *placement.Candidate) { c.Busy = 1 }),
+			}, placement.Send, "near"},
+		{"taking an old reading for the present speed", request(300*time.Millisecond, time.Second),
+			[]placement.Candidate{
+				server("old", func(c *placement.Candidate) { c.SpeedKnown, c.Age = false, time.Second }),
+				server("fresh", func(c *placement.Candidate) { c.Slowdown = 1.5 }),
+			}, placement.Send, "fresh"},
+		{"preferring a server that fails requests", request(300*time.Millisecond, time.Second),
+			[]placement.Candidate{
+				server("failing", func(c *placement.Candidate) { c.FailureShare = 0.5 }),
+				server("sound", func(c *placement.Candidate) { c.Busy = 1 }),
+			}, placement.Send, "sound"},
+	} {
+		d := placement.Decide(start, c.request, c.candidates, costs, 0.5)
+		id := ""
+		if d.Action == placement.Send {
+			id = c.candidates[d.Index].ID
+		}
+		if d.Action != c.action || id != c.id {
+			t.Errorf("%s: action %d to %q, want %d to %q", c.guards, d.Action, id, c.action, c.id)
+		}
+	}
+}
+
+// Guards against VMs that all choose the first of equal servers.
+func TestEqualServersShareRequests(t *testing.T) {
+	candidates := []placement.Candidate{server("a", nil), server("b", nil), server("c", nil), server("d", nil)}
+	counts := map[int]int{}
+	for i := range 1000 {
+		d := placement.Decide(start, request(time.Second, time.Second), candidates, costs, (float64(i)+0.5)/1000)
+		counts[d.Index]++
+	}
+	for i := range candidates {
+		if counts[i] < 200 || counts[i] > 300 {
+			t.Errorf("shares %v", counts)
+		}
+	}
+}
+
+// Guards against refused callers that come back together, or after their time.
+func TestRetryAfterSpreadsWithinThePatience(t *testing.T) {
+	left := 900 * time.Millisecond
+	first, last := placement.RetryAfter(left, 0), placement.RetryAfter(left, 0.999)
+	if first < 50*time.Millisecond || last > left/3 || last-first < 200*time.Millisecond {
+		t.Errorf("from %v to %v", first, last)
+	}
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,121 @@
+package replica_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"goldcresthinge.example/goldcresthinge/internal/replica"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func row(key, value string, version uint64) replica.Row {
+	return replica.Row{Key: key, Value: []byte(value), Version: version}
+}
+
+// Guards against a copy that misses changes because it skipped a span of
+// versions.
+func TestApplyRefusesAGap(t *testing.T) {
+	c := replica.New("t", nil)
+	if c.Apply(replica.Changes{After: 0, Version: 5}, epoch) {
+		t.Error("changes were applied to a copy that was never read as a whole")
+	}
+	c.Apply(replica.Changes{Whole: true, Version: 5}, epoch)
+	if c.Apply(replica.Changes{After: 6, Version: 7}, epoch) {
+		t.Error("changes after version 6 were applied to version 5")
+	}
+	if !c.Apply(replica.Changes{After: 4, Version: 7}, epoch) {
+		t.Error("overlapping changes were refused")
+	}
+}
+
+// Guards against a copy that goes back after an old answer arrived late.
+func TestApplyNeverGoesBack(t *testing.T) {
+	c := replica.New("t", nil)
+	c.Apply(replica.Changes{Whole: true, Version: 9, Rows: []replica.Row{row("a", "new", 9)}}, epoch.Add(time.Second))
+	c.Apply(replica.Changes{Whole: true, Version: 5, Rows: []replica.Row{row("a", "old", 4), row("b", "old", 5)}}, epoch)
+	if r, _ := c.Get("a"); string(r.Value) != "new" {
+		t.Errorf("a is %q", r.Value)
+	}
+	if _, ok := c.Get("b"); ok {
+		t.Error("a removed row came back")
+	}
+	if version, asOf, _ := c.State(); version != 9 || !asOf.Equal(epoch.Add(time.Second)) {
+		t.Errorf("version %d as of %v", version, asOf)
+	}
+}
+
+// Guards against heartbeats that are passed on although nothing changed.
+func TestSinceLeavesOutChangesWithoutMeaning(t *testing.T) {
+	c := replica.New("t", func(a, b []byte) bool { return a[0] == b[0] })
+	c.Apply(replica.Changes{Whole: true, Version: 1, Rows: []replica.Row{row("a", "x1", 1)}}, epoch)
+	_, _, before := c.State()
+	c.Apply(replica.Changes{After: 1, Version: 2, Rows: []replica.Row{row("a", "x2", 2)}}, epoch)
+	if _, _, after := c.State(); after != before {
+		t.Error("a heartbeat counted as a change")
+	}
+	if got := c.Since(1); len(got.Rows) != 0 || got.Version != 2 {
+		t.Errorf("passed on %+v", got)
+	}
+	c.Apply(replica.Changes{After: 2, Version: 3, Rows: []replica.Row{row("a", "y", 3)}}, epoch)
+	if got := c.Since(1); len(got.Rows) != 1 {
+		t.Errorf("passed on %+v", got)
+	}
+}
+
+// Guards against copies of siblings that differ from the store, whatever the
+// order in which reads and news arrive.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := map[string]replica.Row{}
+		version := uint64(0)
+		reader, follower := replica.New("t", nil), replica.New("t", nil)
+		read, told := uint64(0), uint64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				version++
+				key := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key"))
+				store[key] = replica.Row{Key: key, Value: []byte{byte(version)}, Version: version, Removed: rapid.Bool().Draw(t, "removed")}
+			case 2:
+				c := replica.Changes{After: read, Version: version, Whole: read == 0 || rapid.Bool().Draw(t, "whole")}
+				for _, r := range store {
+					if c.Whole && !r.Removed || !c.Whole && r.Version > read {
+						c.Rows = append(c.Rows, r)
+					}
+				}
+				if version > 0 {
+					reader.Apply(c, epoch)
+					read = version
+				}
+			case 3:
+				if now, _, _ := reader.State(); now > told {
+					c := reader.Since(told)
+					if !follower.Apply(c, epoch) {
+						t.Fatalf("news %+v do not fit", c)
+					}
+					told = c.Version
+				}
+			}
+		}
+		if told != read || read == 0 {
+			return
+		}
+		got := map[string]string{}
+		for _, r := range follower.Rows() {
+			got[r.Key] = string(r.Value)
+		}
+		for _, r := range reader.Rows() {
+			if got[r.Key] != string(r.Value) {
+				t.Fatalf("row %s: follower has %q, reader %q", r.Key, got[r.Key], r.Value)
+			}
+			delete(got, r.Key)
+		}
+		if len(got) > 0 {
+			t.Fatalf("follower has rows %v that were removed", got)
+		}
+	})
+}
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -1,24 +1,16 @@
 // Package waiting holds requests until placement sends or refuses them. The
-// decisions are those of package placement; this package keeps the order: rank
-// first, then the time left.
+// decisions and their order are those of package placement.
 package waiting
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"goldcresthinge.example/goldcresthinge/internal/placement"
 )
 
-// maxWaiting bounds the requests that wait at one VM. Further ones of lower
-// rank are refused. At today's 7 requests/s of a VM this is several seconds of
-// work, more than any caller waits.
-const maxWaiting = 128
-
 // Ask is a request that needs a server.
 type Ask struct {
 	ID       string
@@ -56,32 +48,40 @@
 // Room holds the waiting requests of a VM. It is safe for concurrent use.
 type Room struct {
 	fleet Fleet
-	costs placement.Costs
 
 	mu      sync.Mutex
-	waiting []*waiter // in order of service
+	queue   placement.Queue
+	waiters map[*placement.Item]*waiter
 }
 
 type waiter struct {
 	ask     Ask
-	since   time.Time
 	granted chan Grant // capacity 1
 }
 
 // NewRoom returns an empty Room.
 func NewRoom(fleet Fleet, costs placement.Costs) *Room {
-	return &Room{fleet: fleet, costs: costs}
+	r := &Room{fleet: fleet, waiters: map[*placement.Item]*waiter{}}
+	r.queue = placement.Queue{
+		Costs: costs, Draw: rand.Float64, //nolint:gosec // no secret
+		Candidates: func(now time.Time, it *placement.Item) []placement.Candidate {
+			return fleet.Candidates(now, &r.waiters[it].ask)
+		},
+		Sent: func(_ *placement.Item, server string, now time.Time) { fleet.Sent(server, now) },
+	}
+	return r
 }
 
 // Acquire returns the decision for a. It blocks while the decision is to wait;
 // the error is that of ctx.
 func (r *Room) Acquire(ctx context.Context, a Ask) (Grant, error) {
-	w := &waiter{ask: a, since: time.Now(), granted: make(chan Grant, 1)}
+	now := time.Now()
+	it := &placement.Item{Request: a.Request, Service: a.Service, Rank: a.Priority, Since: now}
+	w := &waiter{ask: a, granted: make(chan Grant, 1)}
 	r.mu.Lock()
-	at, _ := slices.BinarySearchFunc(r.waiting, w, order)
-	r.waiting = slices.Insert(r.waiting, at, w)
-	r.pass(w.since)
-	r.dropLowest()
+	r.waiters[it] = w
+	r.queue.Add(it)
+	r.pass(now)
 	r.mu.Unlock()
 	select {
 	case g := <-w.granted:
@@ -89,7 +89,8 @@
 	case <-ctx.Done():
 	}
 	r.mu.Lock()
-	r.waiting = slices.DeleteFunc(r.waiting, func(o *waiter) bool { return o == w })
+	r.queue.Remove(it)
+	delete(r.waiters, it)
 	r.mu.Unlock()
 	select {
 	case g := <-w.granted:
@@ -99,15 +100,11 @@
 	}
 }
 
-func order(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), a.ask.Deadline.Compare(b.ask.Deadline))
-}
-
 // Wake decides again, after news of servers, the end of a request, or time.
 func (r *Room) Wake() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.waiting) > 0 {
+	if r.queue.Len() > 0 {
 		r.pass(time.Now())
 	}
 }
@@ -116,37 +113,17 @@
 func (r *Room) Waiting() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.waiting)
+	return r.queue.Len()
 }
 
-// pass decides for all waiting requests in order.
+// pass hands the decisions out. The caller holds the lock.
 func (r *Room) pass(now time.Time) {
-	r.waiting = slices.DeleteFunc(r.waiting, func(w *waiter) bool {
-		candidates := r.fleet.Candidates(now, &w.ask)
-		d := placement.Decide(now, w.ask.Request, candidates, r.costs, rand.Float64()) //nolint:gosec // no secret
-		if d.Action == placement.Wait {
-			return false
-		}
-		g := Grant{Decision: d, Waited: now.Sub(w.since), Candidates: len(candidates)}
-		if d.Action == placement.Send {
-			c := candidates[d.Index]
-			g.Server, g.Age, g.Chosen = c.ID, c.Age, c
-			r.fleet.Sent(c.ID, now)
-		}
-		w.granted <- g
-		return true
-	})
-}
-
-// dropLowest refuses the requests that rank last when too many wait.
-func (r *Room) dropLowest() {
-	for len(r.waiting) > maxWaiting {
-		last := len(r.waiting) - 1
-		w := r.waiting[last]
-		r.waiting = r.waiting[:last]
+	for _, o := range r.queue.Pass(now) {
+		w := r.waiters[o.Item]
+		delete(r.waiters, o.Item)
 		w.granted <- Grant{
-			Decision: placement.Decision{Action: placement.Refuse, Reason: placement.AllFull},
-			Waited:   time.Since(w.since),
+			Decision: o.Decision, Server: o.Chosen.ID, Waited: now.Sub(o.Item.Since),
+			Age: o.Chosen.Age, Candidates: o.Of, Chosen: o.Chosen,
 		}
 	}
 }
--- /dev/null
+++ b/internal/waiting/waiting_test.go
@@ -0,0 +1,127 @@
+package waiting_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/placement"
+	"goldcresthinge.example/goldcresthinge/internal/waiting"
+)
+
+// fleet is one server with slots that the test frees.
+type fleet struct {
+	mu   sync.Mutex
+	free int
+	sent []string
+}
+
+func (f *fleet) Candidates(time.Time, *waiting.Ask) []placement.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	busy := 9
+	if f.free > 0 {
+		busy = 0
+	}
+	return []placement.Candidate{{ID: "s", Slots: 1, Busy: busy, Slowdown: 1, SpeedKnown: true}}
+}
+
+func (f *fleet) Sent(server string, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.free--
+	f.sent = append(f.sent, server)
+}
+
+func (f *fleet) release(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.free += n
+}
+
+func ask(id string, priority int) waiting.Ask {
+	now := time.Now()
+	return waiting.Ask{
+		ID: id, Service: "svc", Priority: priority,
+		Request: placement.Request{Work: time.Millisecond, Goal: now.Add(time.Hour), Deadline: now.Add(2 * time.Hour)},
+	}
+}
+
+func waitFor(t *testing.T, room *waiting.Room, n int) {
+	t.Helper()
+	for room.Waiting() != n {
+		if t.Context().Err() != nil {
+			t.Fatalf("%d waiting, want %d", room.Waiting(), n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a request of low rank that takes a slot before one of high rank.
+func TestHighRankGoesFirst(t *testing.T) {
+	f := &fleet{}
+	room := waiting.NewRoom(f, placement.Costs{})
+	order := make(chan string, 2)
+	var done sync.WaitGroup
+	for i, a := range []waiting.Ask{ask("low", 2), ask("high", 0)} {
+		done.Go(func() {
+			g, err := room.Acquire(t.Context(), a)
+			if err != nil || g.Action != placement.Send {
+				t.Errorf("%s: %v, %v", a.ID, g, err)
+			}
+			order <- a.ID
+		})
+		waitFor(t, room, i+1)
+	}
+	f.release(1)
+	room.Wake()
+	if first := <-order; first != "high" {
+		t.Errorf("%s went first", first)
+	}
+	f.release(1)
+	room.Wake()
+	done.Wait()
+}
+
+// Guards against a caller who left and still takes a slot.
+func TestEndOfContextLeavesTheRoom(t *testing.T) {
+	f := &fleet{}
+	room := waiting.NewRoom(f, placement.Costs{})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := room.Acquire(ctx, ask("a", 0))
+		ended <- err
+	}()
+	waitFor(t, room, 1)
+	cancel()
+	if err := <-ended; err == nil {
+		t.Error("no error")
+	}
+	f.release(1)
+	room.Wake()
+	if len(f.sent) != 0 {
+		t.Error("a slot was taken")
+	}
+}
+
+// Guards against a room without bound, and against one that drops high ranks.
+func TestLowestRankIsRefusedWhenFull(t *testing.T) {
+	f := &fleet{}
+	room := waiting.NewRoom(f, placement.Costs{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const limit = 128
+	for i := range limit {
+		go func() { _, _ = room.Acquire(ctx, ask("high", 0)) }()
+		waitFor(t, room, i+1)
+	}
+	g, err := room.Acquire(ctx, ask("low", 2))
+	if err != nil || g.Action != placement.Refuse {
+		t.Errorf("%v, %v", g, err)
+	}
+	if room.Waiting() != limit {
+		t.Errorf("%d waiting", room.Waiting())
+	}
+}
