Give relaying and measuring to strong VMs; read the store less at the start

Cause: on the grown sites relays are VMs with 0.16 of a core that send to 34 others; they fell behind, members lost them, and several VMs measured the same servers (118 measurements a server and second, limit 60). Ruled out: longer timeouts alone, since the relays used all of their processor time. Change: VMs register their processor time; relays and measurers are chosen among the strongest; a VM that hears less than half of its failure domain measures at its share of the limit; new VMs wait for a relay before they read the store; ages follow the bounds of the settings; servers with a kept connection are preferred.

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/placement"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
@@ -25,7 +27,10 @@
 
 // costs are the time that a server of another failure domain has to win.
 // Another region adds two crossings of the link, whose bytes are dear.
-var costs = placement.Costs{SameRegion: 8 * time.Millisecond, OtherRegion: 200 * time.Millisecond}
+// A new connection takes a round trip and may hold a slot for a moment.
+var costs = placement.Costs{
+	SameRegion: 8 * time.Millisecond, OtherRegion: 200 * time.Millisecond, Connect: 8 * time.Millisecond,
+}
 
 // travelTime is the time of a request to a server, and newsLag the time from a
 // change of a server's speed until this VM knows it, by distance: the one way of
@@ -50,6 +55,8 @@
 	bounds func() platform.Bounds
 	routes func() *routing.Table
 	poke   func() // tells siblings of changes
+	// connected tells whether an idle connection to a server is kept.
+	connected func(server string) bool
 
 	buf sync.Pool // *[]fleet.View
 }
@@ -78,6 +85,7 @@
 			SpeedKnown: v.Reading.SpeedKnown(now, now.Add(travelTime[distance]), newsLag[distance]),
 			Age:        now.Sub(v.Reading.At), Blocked: c.blocked(now, v),
 			Unhealthy: v.Reading.Health == fleet.Unhealthy, FailureShare: v.FailureShare,
+			Connected: c.connected(v.Server.ID),
 		})
 	}
 	return out
@@ -172,13 +180,8 @@
 // its region where the failure domain has none.
 func assign(self fleet.VM, alive []fleet.VM, servers []fleet.Server, regionOf func(string) string) []fleet.Server {
 	alive = append(slices.Clone(alive), self)
-	byDomain := map[string][]vm.Info{}
-	byRegion := map[string][]vm.Info{}
-	for _, v := range alive {
-		info := vm.Info{ID: vm.ID(v.ID)}
-		byDomain[v.FailureDomain] = append(byDomain[v.FailureDomain], info)
-		byRegion[v.Region] = append(byRegion[v.Region], info)
-	}
+	byDomain := groupStrongest(alive, func(v fleet.VM) string { return v.FailureDomain })
+	byRegion := groupStrongest(alive, func(v fleet.VM) string { return v.Region })
 	var mine []fleet.Server
 	for _, s := range servers {
 		group := byDomain[s.FailureDomain]
@@ -191,3 +194,13 @@
 	}
 	return mine
 }
+
+func groupStrongest(vms []fleet.VM, by func(fleet.VM) string) map[string][]vm.Info {
+	out := map[string][]vm.Info{}
+	for key, group := range lo.GroupBy(vms, by) {
+		for _, v := range fleet.Strongest(group) {
+			out[key] = append(out[key], vm.Info{ID: vm.ID(v.ID)})
+		}
+	}
+	return out
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -170,7 +170,7 @@
 		VMs: e.world.VMs, Changed: e.newsArrived, Needed: e.world.needed, Logger: logger,
 	})
 	work := &duties{}
-	fl := &candidates{world: e.world, duties: work, bounds: func() platform.Bounds { return e.node.Load().Bounds }, routes: e.world.routes.Load, poke: e.exchange.Poke}
+	fl := &candidates{world: e.world, duties: work, bounds: func() platform.Bounds { return e.node.Load().Bounds }, routes: e.world.routes.Load, poke: e.exchange.Poke, connected: e.pool.HasIdle}
 	e.room = waiting.NewRoom(fl, costs)
 	e.measurer = &measurer{
 		world: e.world, seen: seen, duties: work, pool: e.pool, proto: platform.Headers{}, routes: e.world.routes.Load,
@@ -179,7 +179,8 @@
 			e.exchange.Poke()
 			e.room.Wake()
 		},
-		log: log.With(logger, "part", "measure"), followed: map[string]*follower{}, done: make(chan struct{}, 1),
+		probesPerSecond: func() float64 { return e.node.Load().Bounds.ProbesPerSecond },
+		log:             log.With(logger, "part", "measure"), followed: map[string]*follower{}, done: make(chan struct{}, 1),
 	}
 	e.buildReaders(logger)
 	e.buildServers(fl, logger)
@@ -189,10 +190,17 @@
 func (e *Entry) buildReaders(logger log.Logger) {
 	logger = log.With(logger, "part", "reader")
 	for _, t := range e.world.tables() {
-		r := &reader{table: t, store: e.store, exchange: e.exchange, factor: 1, changed: func() { e.newsArrived(true) }, log: logger}
+		r := &reader{
+			table: t, store: e.store, exchange: e.exchange, factor: 1, changed: func() { e.newsArrived(true) }, log: logger,
+			bound: func() time.Duration {
+				b := e.node.Load().Bounds
+				return min(b.DrainWithin, b.ConfigurationWithin)
+			},
+			registered: e.registered.Load,
+		}
 		switch t {
 		case e.world.operator:
-			r.wait = changeWait
+			r.held = true
 		case e.world.members:
 			r.factor = membersFactor
 		}
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -48,8 +48,11 @@
 	changed func() // called after a reading that placement or siblings want
 	log     log.Logger
 
+	probesPerSecond func() float64 // of one server, by all VMs together
+
 	mu       sync.Mutex
 	followed map[string]*follower
+	slowest  time.Duration // least pause while this VM hears too few others
 	done     chan struct{} // capacity 1: a measurement has ended
 }
 
@@ -92,6 +95,7 @@
 	set := make(map[string]bool, len(mine))
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.slowest = m.isolatedPause(alive)
 	for _, s := range mine {
 		set[s.ID] = true
 		f, ok := m.followed[s.ID]
@@ -109,6 +113,19 @@
 	m.duties.set(set)
 }
 
+// isolatedPause is the least pause between two measurements of a server while
+// this VM hears less than half of its failure domain: others may measure the same
+// servers, so that each VM takes an equal share of the limit.
+func (m *measurer) isolatedPause(alive []fleet.VM) time.Duration {
+	registered := len(vmsOf(m.world.VMs(), m.world.self.FailureDomain))
+	heard := len(vmsOf(alive, m.world.self.FailureDomain)) + 1
+	limit := m.probesPerSecond()
+	if 2*heard >= registered || limit <= 0 {
+		return 0
+	}
+	return time.Duration(float64(registered) / limit * float64(time.Second))
+}
+
 // startDue starts the measurements that are due and returns the time of the
 // next one.
 func (m *measurer) startDue(ctx context.Context, now time.Time) time.Time {
@@ -197,6 +214,9 @@
 		if latest := received.Add(longestPause); f.next.After(latest) {
 			f.next = latest
 		}
+		if earliest := sent.Add(m.slowest); f.next.Before(earliest) {
+			f.next = earliest
+		}
 	}
 	if until, ok := f.tracker.ValidUntil(); ok {
 		r.ValidUntil, r.Period = until, f.tracker.Period()
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -14,18 +14,22 @@
 )
 
 // The reader of a region keeps its copies fresh enough that a change reaches
-// each VM well within the shortest bound, 2 s. Other VMs read for themselves only
-// when the copies grow older than that reader lets them: relays first.
+// each VM well within the shortest bound for changes. Other VMs read for themselves
+// only when the copies grow older than that reader lets them: relays first. The
+// ages are shares of the bound, 2 s at today's sites.
 const (
-	readerAge = 600 * time.Millisecond
-	relayAge  = 1100 * time.Millisecond
-	memberAge = 1350 * time.Millisecond
+	readerAge = 0.36
+	relayAge  = 0.58
+	memberAge = 0.70
+	// firstWait is how long a new VM waits for a relay to send it the tables
+	// before it reads them. The lead before traffic is 8 s.
+	firstWait = 1200 * time.Millisecond
+	// settleWait is the pause between the registration of a VM and its first
+	// read of the table of VMs. At a first start all register within 0.3 s.
+	settleWait = 350 * time.Millisecond
 	// membersFactor stretches these ages for the table of VMs, which changes
 	// rarely and has no bound.
 	membersFactor = 4
-	// changeWait is how long the store may hold a read of operators' rows until
-	// one changes.
-	changeWait = 550 * time.Millisecond
 	// callSlack bounds a read beyond its wait. Slow stores answer in 0.3 s.
 	callSlack = 900 * time.Millisecond
 	// failurePause is the pause after a failed read.
@@ -39,17 +43,22 @@
 	table    *replica.Table
 	store    *platform.Store
 	exchange *news.Exchange
-	wait     time.Duration // 0: the table changes all the time
+	held     bool // the store may hold a read until the table changes
 	factor   time.Duration
-	changed  func()
-	log      log.Logger
-	failing  bool
+	// bound is the time within which a change has to reach all VMs.
+	bound func() time.Duration
+	// registered tells whether the entry of this VM is written.
+	registered func() bool
+	changed    func()
+	log        log.Logger
+	failing    bool
 }
 
 func (r *reader) run(ctx context.Context) error {
 	tick := time.NewTicker(readTick)
 	defer tick.Stop()
 	var pauseUntil time.Time
+	started := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -61,31 +70,46 @@
 		if now.Before(pauseUntil) || (version != 0 && now.Sub(asOf) < r.maxAge(now)) {
 			continue
 		}
+		if version == 0 && !r.readsFirst(now.Sub(started)) {
+			continue
+		}
 		if err := r.read(ctx, version); err != nil {
 			pauseUntil = time.Now().Add(failurePause)
 		}
 	}
 }
 
+// readsFirst reports whether this VM reads a table that it does not have, up
+// after its start. Only the table of VMs has to be read to find a relay.
+func (r *reader) readsFirst(up time.Duration) bool {
+	if up >= firstWait {
+		return true
+	}
+	if r.table.Name() == platform.TableVMs {
+		return r.registered() && up >= settleWait
+	}
+	return r.exchange.Relay()
+}
+
 // maxAge is the age of the copy from which this VM reads the table.
 func (r *reader) maxAge(now time.Time) time.Duration {
-	age := memberAge
+	share := memberAge
 	switch {
 	case r.exchange.FirstRelay(now):
-		age = readerAge
-		if r.wait > 0 {
-			age = readTick // the store holds the call
+		if r.held {
+			return readTick // the store holds the call instead
 		}
+		share = readerAge
 	case r.exchange.Relay():
-		age = relayAge
+		share = relayAge
 	}
-	return age * r.factor
+	return time.Duration(share*float64(r.bound())) * r.factor
 }
 
 func (r *reader) read(ctx context.Context, version uint64) error {
-	wait := r.wait
-	if !r.exchange.Relay() {
-		wait = 0
+	wait := time.Duration(0)
+	if r.held && r.exchange.FirstRelay(time.Now()) {
+		wait = time.Duration(readerAge * float64(r.bound()))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -30,12 +30,16 @@
 // metricsInterval is the pause between two reports of tally.
 const metricsInterval = time.Second
 
+// milli is the number of thousandths in one.
+const milli = 1000
+
 // provide registers the constructors of the parts that need no other state.
 func provide(i do.Injector, node *platform.Node, options settings.Entry, logTo io.Writer) {
 	do.ProvideValue(i, node)
 	do.ProvideValue(i, fleet.VM{
 		ID: node.ID, FailureDomain: node.FailureDomain, Region: node.Region, Address: node.SiblingAddress(),
 		Incarnation: rand.Uint64() >> 12, //nolint:gosec // no secret; fits a JSON number
+		MilliCores:  int(node.Cores * milli),
 	})
 	do.ProvideValue(i, logging.New(logTo, options.LogFormat, node.ID))
 	do.ProvideValue(i, backend.NewPool(nil))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,4 +107,21 @@
 	Region        string
 	Address       string // host:port of the listener for siblings
 	Incarnation   uint64
+	MilliCores    int // processor time that the VM may use
+}
+
+// Strongest returns the VMs of list that have at least half the processor time of
+// the strongest one. They take the duties of a failure domain.
+func Strongest(list []VM) []VM {
+	most := 0
+	for _, v := range list {
+		most = max(most, v.MilliCores)
+	}
+	var out []VM
+	for _, v := range list {
+		if 2*v.MilliCores >= most {
+			out = append(out, v)
+		}
+	}
+	return out
 }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -166,11 +166,11 @@
 }
 
 // Order returns the VMs of a failure domain in the order in which they become
-// its relay.
+// its relay: strong ones first, since a relay sends to all others.
 func Order(vms []fleet.VM, domain string) []fleet.VM {
 	out := slices.Clone(vms)
 	slices.SortFunc(out, func(a, b fleet.VM) int {
-		return cmp.Or(cmp.Compare(rank(a, domain), rank(b, domain)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(b.MilliCores, a.MilliCores), cmp.Compare(rank(a, domain), rank(b, domain)), cmp.Compare(a.ID, b.ID))
 	})
 	return out
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -65,6 +65,8 @@
 	Blocked      bool
 	Unhealthy    bool
 	FailureShare float64
+	// Connected is true if an idle connection to the server is kept.
+	Connected bool
 }
 
 // Request is what the decision has to know of a request.
@@ -79,17 +81,23 @@
 type Costs struct {
 	SameRegion  time.Duration
 	OtherRegion time.Duration
+	// Connect is the same for a server to which a connection has to be opened.
+	Connect time.Duration
 }
 
-func (c Costs) of(d Distance) time.Duration {
-	switch d {
+func (c Costs) of(s Candidate) time.Duration {
+	var cost time.Duration
+	switch s.Distance {
+	case SameDomain:
 	case SameRegion:
-		return c.SameRegion
+		cost = c.SameRegion
 	case OtherRegion:
-		return c.OtherRegion
-	default:
-		return 0
+		cost = c.OtherRegion
 	}
+	if !s.Connected {
+		cost += c.Connect
+	}
+	return cost
 }
 
 // Action is what to do with a request.
@@ -169,7 +177,7 @@
 		if c.Blocked || c.Busy >= c.Slots+queueAtServer {
 			continue
 		}
-		e := float64(Estimate(r.Work, c) + costs.of(c.Distance))
+		e := float64(Estimate(r.Work, c) + costs.of(c))
 		switch {
 		case e < shortest*(1-tieMargin):
 			best, shortest, ties = i, e, 1
