--- /dev/null
+++ b/internal/backend/pool_test.go
@@ -0,0 +1,261 @@
+package backend_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/backend"
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+)
+
+// headers is a protocol with names of the tests' own.
+type headers struct{}
+
+func (headers) Address(h http.Header, server string, _ time.Duration) { h.Set("To", server) }
+
+func (headers) Answer(status int, h http.Header) backend.Answer {
+	return backend.Answer{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Healthy: status == 200, Server: h.Get("From")}
+}
+
+// script answers the requests of one connection after another with raw bytes.
+// Each connection gets the next list; each request of it the next entry.
+func script(t *testing.T, connections ...[]string) fleet.Server {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for _, answers := range connections {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			for _, a := range answers {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					break
+				}
+				_, _ = io.WriteString(c, a)
+			}
+			if len(answers) > 0 && strings.HasSuffix(answers[len(answers)-1], "\x00open") {
+				continue
+			}
+			_ = c.Close()
+		}
+	}()
+	return fleet.Server{ID: "s-1", Address: l.Addr().String()}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func do(t *testing.T, p *backend.Pool, s fleet.Server, req *backend.Request) (string, error) {
+	t.Helper()
+	resp, err := p.Do(t.Context(), headers{}, s, req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func get(id string) *backend.Request {
+	return &backend.Request{ID: id, Method: "GET", Target: "/a//b?x=%20&", Host: "h", Timeout: time.Second}
+}
+
+// Guards against a connection that is not reused, and against a path that is
+// changed on the way.
+func TestPoolReusesConnections(t *testing.T) {
+	s := script(t, []string{answer("1", "one"), answer("2", "two")})
+	p := backend.NewPool(nil)
+	defer p.Close()
+	for id, want := range map[string]string{"1": "one"} {
+		if got, err := do(t, p, s, get(id)); got != want || err != nil {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+	if got, err := do(t, p, s, get("2")); got != "two" || err != nil {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if p.Dialed() != 1 {
+		t.Errorf("%d connections", p.Dialed())
+	}
+}
+
+// Guards against an answer that arrives late and is taken for the answer of the
+// next request.
+func TestPoolSkipsAnswersOfOtherRequests(t *testing.T) {
+	s := script(t, []string{answer("1", "one"), answer("1", "one again") + answer("2", "two")})
+	p := backend.NewPool(nil)
+	defer p.Close()
+	if _, err := do(t, p, s, get("1")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := do(t, p, s, get("2")); got != "two" || err != nil {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if p.HasIdle(s.ID) {
+		t.Error("a connection with a stray answer is kept")
+	}
+}
+
+// Guards against surplus bytes that are read as the answer of the next request.
+func TestPoolDropsConnectionsWithSurplusBytes(t *testing.T) {
+	s := script(t, []string{answer("1", "one") + "surplus"}, []string{answer("2", "two")})
+	p := backend.NewPool(nil)
+	defer p.Close()
+	if got, err := do(t, p, s, get("1")); got != "one" || err != nil {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if got, err := do(t, p, s, get("2")); got != "two" || err != nil {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
+
+// Guards against broken answers that look whole, and against a claim that a
+// request was not sent when it may have run.
+func TestPoolReportsBrokenAnswers(t *testing.T) {
+	for name, raw := range map[string]string{
+		"truncated body":         "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nabc",
+		"truncated chunk":        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+		"no answer":              "",
+		"no HTTP":                "\x00\x01\x02 nonsense\r\n\r\n",
+		"another request":        "HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"no request":             "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"truncated answer to it": "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 9\r\n\r\nabc",
+	} {
+		s := script(t, []string{raw})
+		p := backend.NewPool(nil)
+		got, err := do(t, p, s, get("1"))
+		if err == nil {
+			t.Errorf("%s: got %q without an error", name, got)
+		}
+		var failure *backend.ExchangeError
+		if errors.As(err, &failure) && !failure.Sent {
+			t.Errorf("%s: reported as not sent", name)
+		}
+		p.Close()
+	}
+}
+
+// Guards against an answer without length that is taken for broken.
+func TestPoolReadsAnswersThatEndWithTheConnection(t *testing.T) {
+	s := script(t, []string{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole"})
+	p := backend.NewPool(nil)
+	defer p.Close()
+	if got, err := do(t, p, s, get("1")); got != "whole" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// Guards against the rest of a body that the server reads as another request
+// after it answered early.
+func TestPoolDropsConnectionsAfterEarlyAnswers(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nId: 1\r\nContent-Length: 2\r\n\r\nno")
+	}()
+	p := backend.NewPool(nil)
+	defer p.Close()
+	s := fleet.Server{ID: "s-1", Address: l.Addr().String()}
+	blocked, stop := io.Pipe()
+	defer func() { _ = stop.Close() }()
+	req := get("1")
+	req.Method, req.Body, req.Length = "POST", io.MultiReader(bytes.NewReader(make([]byte, 16<<10)), blocked), 1<<20
+	if got, err := do(t, p, s, req); got != "no" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if p.HasIdle(s.ID) {
+		t.Error("the connection is kept although the body was not sent")
+	}
+}
+
+// Guards against a server that keeps working for a caller who left.
+func TestPoolClosesTheConnectionWithTheContext(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	ctx, cancel := context.WithCancel(t.Context())
+	closed := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			closed <- nil
+			return
+		}
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			closed <- nil
+			return
+		}
+		cancel()
+		_, err = r.ReadByte()
+		closed <- err
+	}()
+	p := backend.NewPool(nil)
+	defer p.Close()
+	if _, err := p.Do(ctx, headers{}, fleet.Server{ID: "s-1", Address: l.Addr().String()}, get("1")); !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+	if err := <-closed; err == nil {
+		t.Error("the connection stayed open")
+	}
+}
+
+// Guards against a refused connection that is taken for a request that may have
+// run.
+func TestPoolTellsRefusedConnections(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	p := backend.NewPool(nil)
+	defer p.Close()
+	_, err = p.Do(t.Context(), headers{}, fleet.Server{ID: "s-1", Address: address}, get("1"))
+	var failure *backend.ExchangeError
+	if !errors.As(err, &failure) || failure.Sent || !failure.Refused {
+		t.Errorf("error %+v", err)
+	}
+}
+
+// Guards against readings of a server that took over the address of another.
+func TestProbeRejectsAnotherServer(t *testing.T) {
+	s := script(t, []string{"HTTP/1.1 200 OK\r\nFrom: s-2\r\nContent-Length: 0\r\n\r\n"})
+	p := backend.NewPool(nil)
+	defer p.Close()
+	if _, err := p.Probe(t.Context(), headers{}, s, "/health", time.Second); err == nil {
+		t.Error("no error")
+	}
+}
--- /dev/null
+++ b/internal/front/conn_test.go
@@ -0,0 +1,106 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"goldcresthinge.example/goldcresthinge/internal/front"
+)
+
+func serve(t *testing.T, h http.HandlerFunc, limits front.Limits) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := front.NewServer(h, 1<<20)
+	go func() { _ = s.Serve(front.NewListener(l, func() front.Limits { return limits })) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+const one = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Guards against a pipelined request that hides that the caller left: net/http
+// stops looking at the connection once it has read a byte of it.
+func TestCallerWhoLeavesIsNoticedBehindPipelinedRequests(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan error, 4)
+	c, _ := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			close(started)
+		}
+		<-r.Context().Done()
+		ended <- context.Cause(r.Context())
+	}, front.Limits{})
+	if _, err := io.WriteString(c, one+strings.Replace(one, "/1", "/2", 1)); err != nil {
+		t.Fatal(err)
+	}
+	<-started
+	_ = c.Close()
+	if err := <-ended; err == nil {
+		t.Error("no cause")
+	}
+}
+
+// Guards against pipelined answers in another order than their requests.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	c, r := serve(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }, front.Limits{})
+	if _, err := io.WriteString(c, one+strings.Replace(one, "/1", "/2", 1)+strings.Replace(one, "/1", "/3", 1)); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"/1", "/2", "/3"} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || string(body) != want {
+			t.Errorf("got %q, %v, want %q", body, err, want)
+		}
+	}
+}
+
+// Guards against connections that stay open for ever, and against a limit that
+// ends a request in progress.
+func TestLimitsEndIdleConnectionsOnly(t *testing.T) {
+	const limit = 30 * time.Millisecond
+	c, r := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(3 * limit)
+		_, _ = io.WriteString(w, "ok")
+	}, front.Limits{Header: limit, Idle: limit})
+	if _, err := io.WriteString(c, one); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("the request in progress was cut: %v", err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.ReadByte(); err == nil {
+		t.Error("the idle connection stayed open")
+	}
+}
+
+// Guards against a caller who sends a head slowly and holds a connection.
+func TestLimitEndsSlowHeads(t *testing.T) {
+	c, r := serve(t, func(http.ResponseWriter, *http.Request) {}, front.Limits{Header: 30 * time.Millisecond})
+	if _, err := io.WriteString(c, "GET / HT"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.ReadByte(); err == nil {
+		t.Error("bytes without a request")
+	}
+}
--- /dev/null
+++ b/internal/front/handler_test.go
@@ -0,0 +1,286 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"goldcresthinge.example/goldcresthinge/internal/backend"
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/front"
+	"goldcresthinge.example/goldcresthinge/internal/placement"
+	"goldcresthinge.example/goldcresthinge/internal/retry"
+	"goldcresthinge.example/goldcresthinge/internal/routing"
+	"goldcresthinge.example/goldcresthinge/internal/waiting"
+)
+
+// protocol has header names of the tests' own.
+type protocol struct{}
+
+func (protocol) Request(h http.Header) (string, time.Duration, error) {
+	ms, err := strconv.Atoi(h.Get("Patience"))
+	return h.Get("Id"), time.Duration(ms) * time.Millisecond, err
+}
+func (protocol) SetRetryAfter(h http.Header, _ time.Duration) { h.Set("Retry-After", "1") }
+func (protocol) Address(h http.Header, server string, _ time.Duration) {
+	h.Set("To", server)
+}
+
+func (protocol) Answer(_ int, h http.Header) backend.Answer {
+	return backend.Answer{RequestID: h.Get("Id"), Genuine: h.Get("Proof") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// servers are backend servers in the order in which placement takes them.
+type servers struct {
+	list []fleet.Server
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (s *servers) Candidates(_ time.Time, a *waiting.Ask) []placement.Candidate {
+	var out []placement.Candidate
+	for i, server := range s.list {
+		tried := false
+		for _, id := range a.Tried {
+			tried = tried || id == server.ID
+		}
+		if !tried {
+			out = append(out, placement.Candidate{ID: server.ID, Slots: 2, Slowdown: 1 + float64(i), SpeedKnown: true})
+		}
+	}
+	return out
+}
+func (s *servers) Sent(string, time.Time) {}
+func (s *servers) Server(id string) (fleet.Server, bool) {
+	for _, server := range s.list {
+		if server.ID == id {
+			return server, true
+		}
+	}
+	return fleet.Server{}, false
+}
+func (s *servers) Ended(string, time.Time, fleet.Result)      {}
+func (s *servers) ObserveSlowdown(string, time.Time, float64) {}
+func (s *servers) ConnectionRefused(string, time.Time)        {}
+func (s *servers) counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+func (s *servers) ran(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id]++
+}
+
+var _ = Describe("a request", func() {
+	var (
+		world  *servers
+		routes atomic.Pointer[routing.Table]
+		entry  *httptest.Server
+	)
+
+	add := func(h func(w http.ResponseWriter, r *http.Request)) {
+		id := fmt.Sprintf("s-%d", len(world.list)+1)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			world.ran(id)
+			h(w, r)
+		}))
+		DeferCleanup(s.Close)
+		world.list = append(world.list, fleet.Server{ID: id, Address: strings.TrimPrefix(s.URL, "http://")})
+	}
+	ok := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Proof", "p")
+		_, _ = io.Copy(w, r.Body)
+		_, _ = io.WriteString(w, "whole")
+	}
+	notRun := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	truncated := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Proof", "p")
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "part")
+	}
+
+	BeforeEach(func() {
+		world = &servers{runs: map[string]int{}}
+		routes.Store(routing.NewTable(&routing.Configuration{
+			Version: 1,
+			Routes: []routing.Route{
+				{Name: "safe", Host: "127.0.0.1", Prefix: "/safe/", Idempotent: true, MaxAttempts: 2, LatencyGoal: time.Second, Backends: []routing.WeightedService{{Service: "s", Weight: 1}}},
+				{Name: "once", Host: "127.0.0.1", Prefix: "/once/", MaxAttempts: 2, LatencyGoal: time.Second, Backends: []routing.WeightedService{{Service: "s", Weight: 1}}},
+				{Name: "short", Host: "127.0.0.1", Prefix: "/short/", MaxAttempts: 2, Timeout: 300 * time.Millisecond, Backends: []routing.WeightedService{{Service: "s", Weight: 1}}},
+			},
+			Limits: routing.Limits{BodyBytes: 1 << 20, HeaderBytes: 4096},
+		}))
+		pool := backend.NewPool(nil)
+		DeferCleanup(pool.Close)
+		h := front.NewHandler(front.Config{
+			Protocol: protocol{}, Routes: routes.Load, Fleet: world, Room: waiting.NewRoom(world, placement.Costs{}),
+			Pool: pool, Work: front.NewWorkTimes(), Budget: retry.NewWindowBudget(),
+			Limits:  func() retry.WindowLimits { return retry.WindowLimits{Ratio: 0.2, Slack: 100, Window: time.Minute} },
+			VMs:     func() int { return 1 },
+			Closing: func() bool { return false }, Metrics: front.NewMetrics(tally.NoopScope), Logger: log.NewNopLogger(),
+		})
+		entry = httptest.NewServer(h)
+		DeferCleanup(entry.Close)
+	})
+
+	send := func(method, path, body string) (*http.Response, string, error) {
+		req, err := http.NewRequestWithContext(context.Background(), method, entry.URL+path, strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("Id", "r-1")
+		req.Header.Set("Patience", "2000")
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+		if err != nil {
+			return nil, "", err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		return resp, string(data), err
+	}
+
+	It("gets the whole answer of a server", func() {
+		add(ok)
+		resp, body, err := send("POST", "/once/a", "echo ")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("echo whole"))
+	})
+
+	// Guards against a non-idempotent request that runs twice.
+	It("runs once if its answer is lost and it may not be repeated", func() {
+		add(cut)
+		add(ok)
+		resp, _, err := send("POST", "/once/a", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(world.counts()).To(Equal(map[string]int{"s-1": 1}))
+	})
+
+	It("goes to a second server if the first did not run it", func() {
+		add(notRun)
+		add(ok)
+		resp, body, err := send("POST", "/once/a", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("xwhole"))
+	})
+
+	DescribeTable("is repeated if it is idempotent and the first answer is broken",
+		func(first func(http.ResponseWriter, *http.Request)) {
+			add(first)
+			add(ok)
+			resp, body, err := send("GET", "/safe/a", "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(200))
+			Expect(body).To(Equal("whole"))
+		},
+		Entry("lost", cut),
+		Entry("truncated", truncated),
+		Entry("without the server's proof", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "forged") }),
+	)
+
+	// Guards against more servers for one request than its route allows.
+	It("goes to no more servers than its route allows", func() {
+		add(notRun)
+		add(notRun)
+		add(ok)
+		resp, _, err := send("GET", "/safe/a", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(world.counts()).NotTo(HaveKey("s-3"))
+	})
+
+	// Guards against a refusal that says "not run" after a request may have run.
+	It("is never refused as not run after it was sent without an answer", func() {
+		add(truncated)
+		resp, _, err := send("POST", "/once/a", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+	})
+
+	It("ends at the timeout of its route", func() {
+		release := make(chan struct{})
+		add(func(http.ResponseWriter, *http.Request) { <-release })
+		defer close(release)
+		resp, _, err := send("POST", "/short/a", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
+	})
+
+	It("is refused at once if no server may serve it", func() {
+		resp, _, err := send("GET", "/safe/a", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("goes on to another server if nothing listens at the first", func() {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		world.list = append(world.list, fleet.Server{ID: "s-1", Address: l.Addr().String()})
+		add(ok)
+		resp, _, err := send("POST", "/once/a", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+	})
+
+	DescribeTable("is rejected with a clear status",
+		func(path string, change func(*http.Request), want int) {
+			add(ok)
+			req, err := http.NewRequestWithContext(context.Background(), "POST", entry.URL+path, strings.NewReader("x"))
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Patience", "2000")
+			change(req)
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(want))
+			Expect(world.counts()).To(BeEmpty())
+		},
+		Entry("without a route", "/other/", func(*http.Request) {}, 404),
+		Entry("with a bad deadline", "/safe/a", func(r *http.Request) { r.Header.Set("Patience", "soon") }, 400),
+		Entry("with a long head", "/safe/a", func(r *http.Request) { r.Header.Set("X", strings.Repeat("x", 5000)) }, 431),
+		Entry("with a long body", "/safe/a", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2<<20))), 2<<20
+		}, 413),
+	)
+
+	It("is refused as not run before the first configuration", func() {
+		routes.Store(nil)
+		resp, _, err := send("GET", "/safe/a", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("passes long bodies on in both directions", func() {
+		add(ok)
+		long := strings.Repeat("0123456789", 60_000)
+		resp, body, err := send("POST", "/once/a", long)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(200))
+		Expect(body).To(Equal(long + "whole"))
+	})
+})
