Tell slow and shedding servers apart, share paces, restart faster

Change: doubts about a server only rank it; times taken, as multiples of the expected ones, are shared within the region; the last retries are left to urgent routes; VMs read the store at once unless the whole system starts for the first time; trackers try the rhythm of similar servers first.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -247,7 +247,7 @@
 		return nil, fmt.Errorf("wait for the answer: %w", noEOF(err))
 	}
 	ex.answered = true
-	resp, err := http.ReadResponse(ex.conn.r, out)
+	resp, err := http.ReadResponse(ex.conn.r, out) //nolint:bodyclose // exchangeBody or skip closes it
 	if err != nil {
 		return nil, fmt.Errorf("read the answer: %w", noEOF(err))
 	}
--- a/internal/cadence/cadence.go
+++ b/internal/cadence/cadence.go
@@ -30,6 +30,10 @@
 	// of a quarter of the period, twelve changes fit a wrong one by chance with a
 	// probability of 4^-11.
 	neededChanges = 12
+	// hintedChanges is the same if similar servers follow a known rhythm: by
+	// chance, five changes fit with a probability of 4^-4, and a wrong phase is
+	// noticed by the checks.
+	hintedChanges = 5
 	// keptChanges bounds the changes that are kept. Their span decides how well
 	// the period is known.
 	keptChanges = 32
@@ -66,6 +70,7 @@
 	value   float64
 	changes []bracket
 
+	hint     time.Duration // period of similar servers, 0: none
 	period   time.Duration // 0: no rhythm known
 	spread   time.Duration // half the span of the periods that fit
 	boundary bracket       // of a change that was expected last
@@ -78,6 +83,13 @@
 // Period returns the rhythm, or 0.
 func (t *Tracker) Period() time.Duration { return t.period }
 
+// Suggest names the period of similar servers, which is tried first.
+func (t *Tracker) Suggest(period time.Duration) {
+	if t.period == 0 && len(t.changes) < hintedChanges {
+		t.hint = period
+	}
+}
+
 // Observe records a measurement that the server answered between sent and
 // received. The middle is taken as its time.
 func (t *Tracker) Observe(sent, received time.Time, value float64) {
@@ -123,6 +135,13 @@
 		t.confirm(b)
 		return
 	}
+	if t.hint > 0 && len(t.changes) >= hintedChanges {
+		t.period, t.spread = t.hint, 0
+		if t.refine() {
+			return
+		}
+		t.period, t.hint = 0, 0
+	}
 	if len(t.changes) >= neededChanges {
 		t.search()
 	}
@@ -160,7 +179,7 @@
 // from them the span of the change that is expected last. It forgets old
 // changes if no period fits.
 func (t *Tracker) refine() bool {
-	for len(t.changes) >= neededChanges/2 {
+	for len(t.changes) >= hintedChanges {
 		var low, high time.Duration
 		var expected bracket
 		reach := min(max(4*t.spread, refineLeast), refineRange)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,11 +104,7 @@
 	}
 	i := do.New()
 	provide(i, node, options, logTo)
-	e, err := build(i, node, options, l)
-	if err != nil {
-		l.close()
-		return nil, err
-	}
+	e := build(i, node, options, l)
 	e.run()
 	return e, nil
 }
@@ -148,7 +144,7 @@
 	}
 }
 
-func build(i do.Injector, node *platform.Node, options settings.Entry, l listeners) (*Entry, error) {
+func build(i do.Injector, node *platform.Node, options settings.Entry, l listeners) *Entry {
 	e := &Entry{
 		options:   options,
 		log:       log.With(do.MustInvoke[log.Logger](i), "part", "entry"),
@@ -184,7 +180,7 @@
 	}
 	e.buildReaders(logger)
 	e.buildServers(fl, logger)
-	return e, nil
+	return e
 }
 
 func (e *Entry) buildReaders(logger log.Logger) {
@@ -196,7 +192,7 @@
 				b := e.node.Load().Bounds
 				return min(b.DrainWithin, b.ConfigurationWithin)
 			},
-			registered: e.registered.Load,
+			registered: e.registered.Load, firstStart: e.node.Load().FirstStart,
 		}
 		switch t {
 		case e.world.operator:
@@ -338,9 +334,6 @@
 			_ = level.Info(e.log).Log("msg", "registered", "address", e.self.Address)
 			return nil
 		}
-		if ctx.Err() != nil {
-			return nil
-		}
 		_ = level.Warn(e.log).Log("msg", "entry of this VM not written", "err", err)
 		pause := registerPause + time.Duration(rand.Int64N(int64(registerPause))) //nolint:gosec // no secret
 		select {
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -205,6 +205,9 @@
 		f.next = received.Add(missPause)
 	default:
 		if loadKnown {
+			if !f.tracker.Locked() {
+				f.tracker.Suggest(m.world.fleet.Period(f.server.Service))
+			}
 			f.tracker.Observe(sent, received, r.Load.Slowdown)
 		}
 		f.next = f.tracker.Next(received)
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -21,7 +21,7 @@
 	readerAge = 0.36
 	relayAge  = 0.58
 	memberAge = 0.70
-	// firstWait is how long a new VM waits for a relay to send it the tables
+	// firstWait is how long a VM waits at the first start for a relay to send it the tables
 	// before it reads them. The lead before traffic is 8 s.
 	firstWait = 1200 * time.Millisecond
 	// settleWait is the pause between the registration of a VM and its first
@@ -49,6 +49,9 @@
 	bound func() time.Duration
 	// registered tells whether the entry of this VM is written.
 	registered func() bool
+	// firstStart is true if all VMs start for the first time, some seconds
+	// before traffic.
+	firstStart bool
 	changed    func()
 	log        log.Logger
 	failing    bool
@@ -82,7 +85,7 @@
 // readsFirst reports whether this VM reads a table that it does not have, up
 // after its start. Only the table of VMs has to be read to find a relay.
 func (r *reader) readsFirst(up time.Duration) bool {
-	if up >= firstWait {
+	if up >= firstWait || !r.firstStart {
 		return true
 	}
 	if r.table.Name() == platform.TableVMs {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -20,9 +20,6 @@
 	// settingsInterval is the pause between two looks at the settings file,
 	// which may change without a signal.
 	settingsInterval = time.Second
-	// staleConfiguration is the age of the copies from which a VM that hears no
-	// sibling and no store leaves new connections to others.
-	staleConfiguration = 10 * time.Second
 )
 
 // ready reports whether new connections should come to this VM.
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -23,8 +24,6 @@
 	"goldcresthinge.example/goldcresthinge/internal/settings"
 	"goldcresthinge.example/goldcresthinge/internal/sibling"
 	"goldcresthinge.example/goldcresthinge/platform"
-
-	"context"
 )
 
 // metricsInterval is the pause between two reports of tally.
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,17 @@
 	// quarantineFirst and quarantineMost bound the pause, which doubles.
 	quarantineFirst = 500 * time.Millisecond
 	quarantineMost  = 4 * time.Second
+	// paceWeight is the weight of the latest request in the pace of a server, and
+	// paceMemory the time after which half of it is forgotten.
+	paceWeight = 0.3
+	paceMemory = 2 * time.Second
+	// paceNoticed is the pace from which a server counts as slow: the work of
+	// single requests differs by less.
+	paceNoticed = 1.6
+	// paceMost bounds what a single request can say.
+	paceMost = 10
+	// keptSamples bounds the samples that wait to be passed on.
+	keptSamples = 256
 	// failureWeight is the weight of the latest result in the share of failures.
 	failureWeight = 0.2
 )
@@ -24,6 +36,8 @@
 	servers map[string]*state
 	order   []*state // sorted by ID
 	changes uint64   // counts changes of readings
+	samples []Sample // the latest ones, oldest first
+	sampled uint64   // number of samples so far
 }
 
 // state is what this VM knows of one server.
@@ -41,6 +55,9 @@
 
 	failures      int // in a row
 	failureShare  float64
+	shedShare     float64
+	pace          float64 // smoothed ratio of time taken and expected
+	paceAt        time.Time
 	quarantined   time.Time // end of the pause
 	quarantineFor time.Duration
 }
@@ -209,6 +226,7 @@
 const (
 	Succeeded Result = iota
 	Failed           // the server failed the request, or gave no answer
+	Shed             // the server did not take the request
 	Neutral          // says nothing about the server, such as a caller who left
 )
 
@@ -225,6 +243,9 @@
 	case Succeeded:
 		st.failures, st.quarantineFor = 0, 0
 		st.failureShare *= 1 - failureWeight
+		st.shedShare *= 1 - failureWeight
+	case Shed:
+		st.shedShare += failureWeight * (1 - st.shedShare)
 	case Failed:
 		st.failures++
 		st.failureShare += failureWeight * (1 - st.failureShare)
@@ -248,7 +269,11 @@
 	// while the server was cold or not yet measured.
 	SentInSecond int
 	FailureShare float64 // 0 to 1, of recent own requests
-	Quarantined  bool
+	ShedShare    float64 // 0 to 1, of recent own requests
+	// Pace is how many times longer than expected recent requests took; 1 unless
+	// it is well beyond.
+	Pace        float64
+	Quarantined bool
 }
 
 // Views appends the views of the servers of a service to buf.
@@ -279,6 +304,7 @@
 		Server: st.server, Reading: st.reading,
 		Busy: st.inFlight + st.byOthers() + st.foreign, InFlight: st.inFlight,
 		SentInSecond: st.cold.count(now), FailureShare: st.failureShare,
+		ShedShare: st.shedShare, Pace: st.currentPace(now),
 		Quarantined: now.Before(st.quarantined),
 	}
 }
@@ -316,3 +342,79 @@
 	}
 	return st.reading, true
 }
+
+// Sample is the time that a server took for one request.
+type Sample struct {
+	Server string
+	// Ratio is the time taken, as a multiple of what was expected of the server
+	// by its readings.
+	Ratio  float64
+	Source string // sibling that told; empty: this VM
+	number uint64
+}
+
+// AddSample records how long a request took at a server.
+func (t *Table) AddSample(s Sample, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st, ok := t.servers[s.Server]
+	if !ok {
+		return
+	}
+	s.Ratio = min(max(s.Ratio, 0), paceMost)
+	pace := st.decayedPace(now)
+	st.pace, st.paceAt = pace+paceWeight*(s.Ratio-pace), now
+	t.sampled++
+	s.number = t.sampled
+	t.samples = append(t.samples, s)
+	if len(t.samples) > keptSamples {
+		t.samples = t.samples[1:]
+	}
+}
+
+// SamplesSince returns the samples after the one numbered since, and the number
+// of the latest.
+func (t *Table) SamplesSince(since uint64) ([]Sample, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Sample
+	for _, s := range t.samples {
+		if s.number > since {
+			out = append(out, s)
+		}
+	}
+	return out, t.sampled
+}
+
+// decayedPace returns the pace, which without new samples goes back to 1.
+func (st *state) decayedPace(now time.Time) float64 {
+	if st.paceAt.IsZero() {
+		return 1
+	}
+	left := math.Exp2(-float64(now.Sub(st.paceAt)) / float64(paceMemory))
+	return 1 + (st.pace-1)*left
+}
+
+func (st *state) currentPace(now time.Time) float64 {
+	if p := st.decayedPace(now); p >= paceNoticed {
+		return p
+	}
+	return 1
+}
+
+// Period returns the rhythm that servers of a service follow, or 0.
+func (t *Table) Period(service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var periods []time.Duration
+	for _, st := range t.order {
+		if st.server.Service == service && st.reading.Period > 0 {
+			periods = append(periods, st.reading.Period)
+		}
+	}
+	if len(periods) == 0 {
+		return 0
+	}
+	slices.Sort(periods)
+	return periods[len(periods)/2]
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,10 +17,12 @@
 	// lastSlotFactor is the slowdown assumed for the last free slot of a server:
 	// some servers work slower when they are nearly full.
 	lastSlotFactor = 1.3
-	// failureFactor scales the estimate by the share of recent failures.
+	// failureFactor scales the rank of a server by its share of recent failures,
+	// and shedFactor by that of requests that it did not take, which cost less.
 	failureFactor = 4
-	// unhealthyFactor scales the estimate of a server that says it is not well:
-	// such answers can be false.
+	shedFactor    = 2
+	// unhealthyFactor scales the rank of a server that says it is not well: such
+	// answers can be false.
 	unhealthyFactor = 2
 	// memory is the age at which a reading has lost most of its meaning for the
 	// speed: servers change it about every 150 ms.
@@ -64,7 +66,11 @@
 	// because it is cold and has had its share of this second.
 	Blocked      bool
 	Unhealthy    bool
-	FailureShare float64
+	FailureShare float64 // of recent requests
+	ShedShare    float64 // of recent requests; the server did not run them
+	// Pace is how many times longer than expected the server took for recent
+	// requests, which its own figures do not show. 0 and 1: as expected.
+	Pace float64
 	// Connected is true if an idle connection to the server is kept.
 	Connected bool
 }
@@ -177,7 +183,7 @@
 		if c.Blocked || c.Busy >= c.Slots+queueAtServer {
 			continue
 		}
-		e := float64(Estimate(r.Work, c) + costs.of(c))
+		e := (float64(Estimate(r.Work, c)) + float64(costs.of(c))) * doubt(c)
 		switch {
 		case e < shortest*(1-tieMargin):
 			best, shortest, ties = i, e, 1
@@ -207,10 +213,18 @@
 	case c.Busy == slots-1 && slots > 1:
 		t *= lastSlotFactor
 	}
+	return time.Duration(t * max(c.Pace, 1))
+}
+
+// doubt scales the rank of a server by what speaks against it. It says nothing
+// about the time of an answer, so that requests do not wait for better servers
+// while all servers fail some.
+func doubt(c Candidate) float64 {
+	d := 1 + failureFactor*c.FailureShare + shedFactor*c.ShedShare
 	if c.Unhealthy {
-		t *= unhealthyFactor
+		d *= unhealthyFactor
 	}
-	return time.Duration(t * (1 + failureFactor*c.FailureShare))
+	return d
 }
 
 // RetryAfter returns when a refused caller should come back. Callers wait up to a
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -15,7 +15,11 @@
 
 // safetyShare is the part of the limits that VMs use. The rest covers VMs that
 // are not known yet and requests that never arrived.
-const safetyShare = 0.8
+const safetyShare = 0.9
+
+// rankShare is the part of its share that a VM uses for requests of each rank, so
+// that the last retries are left to the most urgent ones.
+var rankShare = [...]float64{1, 0.85, 0.6}
 
 // WindowBudget is this VM's share of limits that hold for all VMs together. It
 // needs no messages: a VM earns retries with its own requests, and an equal
@@ -64,12 +68,13 @@
 }
 
 // Allow takes one repeated arrival from the share of this VM, one of vms, or
-// returns false.
-func (b *WindowBudget) Allow(service string, now time.Time, l WindowLimits, vms int) bool {
+// returns false. rank is that of the request; 0 is the highest.
+func (b *WindowBudget) Allow(service string, rank int, now time.Time, l WindowLimits, vms int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counts(service, now, l.Window)
 	limit := safetyShare * (l.Ratio*float64(len(c.firsts)) + l.Slack/float64(max(vms, 1)))
+	limit *= rankShare[min(max(rank, 0), len(rankShare)-1)]
 	if float64(len(c.repeats)+1) > limit {
 		return false
 	}
