Remove the shared paces of servers

Ruled out: more evidence before a server counts as slow (weight 0.15, threshold 1.9), which was as good as no pace at all.

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -85,7 +85,7 @@
 			SpeedKnown: v.Reading.SpeedKnown(now, now.Add(travelTime[distance]), newsLag[distance]),
 			Age:        now.Sub(v.Reading.At), Blocked: c.blocked(now, v),
 			Unhealthy: v.Reading.Health == fleet.Unhealthy, FailureShare: v.FailureShare,
-			ShedShare: v.ShedShare, Pace: v.Pace,
+			ShedShare: v.ShedShare,
 			Connected: c.connected(v.Server.ID),
 		})
 	}
@@ -152,12 +152,6 @@
 	c.world.fleet.ObserveSlowdown(id, at, slowdown)
 }
 
-// TookTime implements front.Fleet.
-func (c *candidates) TookTime(id string, ratio float64, now time.Time) {
-	c.world.fleet.AddSample(fleet.Sample{Server: id, Ratio: ratio}, now)
-	c.poke()
-}
-
 // ConnectionRefused implements front.Fleet.
 func (c *candidates) ConnectionRefused(id string, at time.Time) {
 	c.world.fleet.Observe(id, fleet.Reading{At: at, Health: fleet.Unreachable, Misses: 1})
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -14,17 +13,6 @@
 	// quarantineFirst and quarantineMost bound the pause, which doubles.
 	quarantineFirst = 500 * time.Millisecond
 	quarantineMost  = 4 * time.Second
-	// paceWeight is the weight of the latest request in the pace of a server, and
-	// paceMemory the time after which half of it is forgotten.
-	paceWeight = 0.3
-	paceMemory = 2 * time.Second
-	// paceNoticed is the pace from which a server counts as slow: the work of
-	// single requests differs by less.
-	paceNoticed = 1.6
-	// paceMost bounds what a single request can say.
-	paceMost = 10
-	// keptSamples bounds the samples that wait to be passed on.
-	keptSamples = 256
 	// failureWeight is the weight of the latest result in the share of failures.
 	failureWeight = 0.2
 )
@@ -36,8 +24,6 @@
 	servers map[string]*state
 	order   []*state // sorted by ID
 	changes uint64   // counts changes of readings
-	samples []Sample // the latest ones, oldest first
-	sampled uint64   // number of samples so far
 }
 
 // state is what this VM knows of one server.
@@ -56,8 +42,6 @@
 	failures      int // in a row
 	failureShare  float64
 	shedShare     float64
-	pace          float64 // smoothed ratio of time taken and expected
-	paceAt        time.Time
 	quarantined   time.Time // end of the pause
 	quarantineFor time.Duration
 }
@@ -304,7 +288,7 @@
 		Server: st.server, Reading: st.reading,
 		Busy: st.inFlight + st.byOthers() + st.foreign, InFlight: st.inFlight,
 		SentInSecond: st.cold.count(now), FailureShare: st.failureShare,
-		ShedShare: st.shedShare, Pace: st.currentPace(now),
+		ShedShare:   st.shedShare,
 		Quarantined: now.Before(st.quarantined),
 	}
 }
@@ -343,65 +327,6 @@
 	return st.reading, true
 }
 
-// Sample is the time that a server took for one request.
-type Sample struct {
-	Server string
-	// Ratio is the time taken, as a multiple of what was expected of the server
-	// by its readings.
-	Ratio  float64
-	Source string // sibling that told; empty: this VM
-	number uint64
-}
-
-// AddSample records how long a request took at a server.
-func (t *Table) AddSample(s Sample, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	st, ok := t.servers[s.Server]
-	if !ok {
-		return
-	}
-	s.Ratio = min(max(s.Ratio, 0), paceMost)
-	pace := st.decayedPace(now)
-	st.pace, st.paceAt = pace+paceWeight*(s.Ratio-pace), now
-	t.sampled++
-	s.number = t.sampled
-	t.samples = append(t.samples, s)
-	if len(t.samples) > keptSamples {
-		t.samples = t.samples[1:]
-	}
-}
-
-// SamplesSince returns the samples after the one numbered since, and the number
-// of the latest.
-func (t *Table) SamplesSince(since uint64) ([]Sample, uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Sample
-	for _, s := range t.samples {
-		if s.number > since {
-			out = append(out, s)
-		}
-	}
-	return out, t.sampled
-}
-
-// decayedPace returns the pace, which without new samples goes back to 1.
-func (st *state) decayedPace(now time.Time) float64 {
-	if st.paceAt.IsZero() {
-		return 1
-	}
-	left := math.Exp2(-float64(now.Sub(st.paceAt)) / float64(paceMemory))
-	return 1 + (st.pace-1)*left
-}
-
-func (st *state) currentPace(now time.Time) float64 {
-	if p := st.decayedPace(now); p >= paceNoticed {
-		return p
-	}
-	return 1
-}
-
 // Period returns the rhythm that servers of a service follow, or 0.
 func (t *Table) Period(service string) time.Duration {
 	t.mu.Lock()
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -35,10 +35,6 @@
 	// maxDials bounds the servers that refuse a connection before a request is
 	// refused. No request arrived there, so they are not attempts.
 	maxDials = 3
-	// overdueAfter is the multiple of the estimate after which a request without
-	// an answer shows a slow server, but no sooner than overdueLeast.
-	overdueAfter = 2.5
-	overdueLeast = 100 * time.Millisecond
 	// writeTimeout bounds how long a caller may block the writing of an answer.
 	writeTimeout = 10 * time.Second
 	// notReadyRetryAfter is when callers come back to a VM that has no
@@ -61,9 +57,6 @@
 	Server(id string) (fleet.Server, bool)
 	Ended(id string, now time.Time, r fleet.Result)
 	ObserveSlowdown(id string, at time.Time, slowdown float64)
-	// TookTime records the time that a server took for a request, as a multiple
-	// of what was expected.
-	TookTime(id string, ratio float64, now time.Time)
 	// ConnectionRefused records that nothing listens at a server's address.
 	ConnectionRefused(id string, at time.Time)
 }
@@ -254,10 +247,6 @@
 		return false
 	}
 	sent := time.Now()
-	overdue := time.AfterFunc(max(time.Duration(overdueAfter*float64(q.grant.Estimate)), overdueLeast), func() {
-		cfg.Fleet.TookTime(id, overdueAfter, time.Now())
-	})
-	defer overdue.Stop()
 	resp, err := cfg.Pool.Do(ctx, cfg.Protocol, server, q.outgoing())
 	if err != nil {
 		return q.exchangeFailed(ctx, server, sent, err)
@@ -405,7 +394,7 @@
 		return false
 	}
 	if !failed {
-		q.learn(server.ID, now.Sub(sent), now)
+		cfg.Work.Observe(q.route, now.Sub(sent), q.grant.Chosen)
 	}
 	_ = http.NewResponseController(q.w).SetWriteDeadline(now.Add(writeTimeout))
 	header := q.w.Header()
@@ -427,19 +416,6 @@
 	return true
 }
 
-// learn records what an answer says about the route's work and the server.
-func (q *request) learn(server string, took time.Duration, now time.Time) {
-	chosen := q.grant.Chosen
-	// Behind other requests, the time says more about those.
-	if chosen.Busy < chosen.Slots && q.grant.Estimate > 0 {
-		unhurried := chosen
-		unhurried.Pace = 1
-		expected := placement.Estimate(q.h.cfg.Work.Usual(q.route), unhurried)
-		q.h.cfg.Fleet.TookTime(server, float64(took)/float64(expected), now)
-	}
-	q.h.cfg.Work.Observe(q.route, took, chosen)
-}
-
 // giveUp ends a request whose context has ended.
 func (q *request) giveUp(ctx context.Context, sent bool) {
 	switch {
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -75,7 +75,6 @@
 }
 func (s *servers) Ended(string, time.Time, fleet.Result)      {}
 func (s *servers) ObserveSlowdown(string, time.Time, float64) {}
-func (s *servers) TookTime(string, float64, time.Time)        {}
 func (s *servers) ConnectionRefused(string, time.Time)        {}
 func (s *servers) counts() map[string]int {
 	s.mu.Lock()
--- a/internal/front/work.go
+++ b/internal/front/work.go
@@ -44,7 +44,7 @@
 // Observe records the time of an answer of the chosen server. Answers of servers
 // that were slow or full when chosen say little about the usual work.
 func (t *WorkTimes) Observe(r *routing.Route, took time.Duration, chosen placement.Candidate) {
-	if chosen.Slowdown > 1 || chosen.Pace > 1 || chosen.Busy >= chosen.Slots || chosen.Distance == placement.OtherRegion {
+	if chosen.Slowdown > 1 || chosen.Busy >= chosen.Slots || chosen.Distance == placement.OtherRegion {
 		return
 	}
 	before := t.Usual(r)
--- a/internal/news/peer.go
+++ b/internal/news/peer.go
@@ -49,7 +49,6 @@
 	lastMessage time.Time
 	sent        map[string]fleet.Reading
 	sentInUse   map[string]int
-	sentSample  uint64
 	numbers     map[string]uint32
 
 	servers map[uint32]string // used by the receiver only
@@ -136,17 +135,12 @@
 	for _, u := range m.GetInUse() {
 		p.x.cfg.Servers.SetOthers(p.key, p.servers[u.GetNumber()], int(u.GetRequests()))
 	}
-	for _, s := range m.GetSamples() {
-		p.x.cfg.Servers.AddSample(fleet.Sample{
-			Server: p.servers[s.GetNumber()], Ratio: float64(s.GetPercent()) / percent, Source: p.key,
-		}, now)
-	}
 	for _, r := range m.GetReadings() {
 		p.x.cfg.Servers.Observe(p.servers[r.GetNumber()], decodeReading(now, r, p.vm.ID))
 	}
 	if len(m.GetTables()) > 0 || len(m.GetReadings()) > 0 || len(m.GetInUse()) > 0 {
 		p.x.cfg.Changed(len(m.GetTables()) > 0)
-		if len(m.GetReadings()) > 0 || len(m.GetInUse()) > 0 || len(m.GetSamples()) > 0 {
+		if len(m.GetReadings()) > 0 || len(m.GetInUse()) > 0 {
 			p.x.Poke() // a relay passes them on
 		}
 	}
@@ -204,9 +198,8 @@
 	beat := now.Sub(p.lastMessage) >= refreshInterval
 	p.addReadings(now, m)
 	p.addInUse(m)
-	p.addSamples(m)
 	p.addTables(now, m, beat)
-	if len(m.Readings) == 0 && len(m.InUse) == 0 && len(m.Samples) == 0 && len(m.Tables) == 0 && !beat {
+	if len(m.Readings) == 0 && len(m.InUse) == 0 && len(m.Tables) == 0 && !beat {
 		return nil
 	}
 	if beat {
@@ -319,29 +312,6 @@
 	}
 }
 
-// addSamples adds the times that servers took for requests since the message
-// before, along the same ways as requests in progress. Samples that say nothing
-// unusual are told within the failure domain only.
-func (p *peer) addSamples(m *siblingpb.News) {
-	const unusual = 1.5 // multiple of the expected time
-	samples, latest := p.x.cfg.Servers.SamplesSince(p.sentSample)
-	p.sentSample = latest
-	if !p.sameRegion || (!p.near && !p.subscriber) {
-		return
-	}
-	for _, s := range samples {
-		switch {
-		case s.Source == p.key, !p.subscriber && s.Source != "":
-			continue
-		case !p.near && (strings.HasPrefix(s.Source, farPrefix) || s.Ratio < unusual):
-			continue
-		}
-		m.Samples = append(m.Samples, &siblingpb.Sample{
-			Number: p.number(s.Server, m), Percent: clamp(int(s.Ratio * percent)),
-		})
-	}
-}
-
 // addTables adds what the peer does not have of the tables.
 func (p *peer) addTables(now time.Time, m *siblingpb.News, beat bool) {
 	if p.vm.Region != p.x.cfg.Self.Region {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -68,9 +68,6 @@
 	Unhealthy    bool
 	FailureShare float64 // of recent requests
 	ShedShare    float64 // of recent requests; the server did not run them
-	// Pace is how many times longer than expected the server took for recent
-	// requests, which its own figures do not show. 0 and 1: as expected.
-	Pace float64
 	// Connected is true if an idle connection to the server is kept.
 	Connected bool
 }
@@ -213,7 +210,7 @@
 	case c.Busy == slots-1 && slots > 1:
 		t *= lastSlotFactor
 	}
-	return time.Duration(t * max(c.Pace, 1))
+	return time.Duration(t)
 }
 
 // doubt scales the rank of a server by what speaks against it. It says nothing
