Cross the link once per region, one write per frame, notice moved rhythms

Change: only the first relay of a region subscribes over the link and passes readings on; frameConn joins header and body; a change outside the expected span resets the rhythm and tries its period first.

--- a/internal/cadence/cadence.go
+++ b/internal/cadence/cadence.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// minPeriod and maxPeriod bound the rhythms that are looked for.
-	minPeriod = 60 * time.Millisecond
+	// minPeriod and maxPeriod bound the rhythms that are looked for. Below, three
+	// measurements per period would take more than measuring at the interval for
+	// searching.
+	minPeriod = 90 * time.Millisecond
 	maxPeriod = 400 * time.Millisecond
 	// periodStep is the step of the search. Over the span of the changes kept,
 	// a smaller error of the period shifts the phase by less than a bracket.
@@ -48,7 +50,7 @@
 	checkEvery = 4
 	// searching and fallback are the intervals of measurements without a rhythm:
 	// while one is looked for, and after none was found for searchFor.
-	searching = 25 * time.Millisecond
+	searching = 33 * time.Millisecond
 	fallback  = 50 * time.Millisecond
 	searchFor = 10 * time.Second
 	// tolerance is the relative change of the speed that counts as one.
@@ -155,15 +157,25 @@
 		t.changes = t.changes[:len(t.changes)-1]
 		return
 	}
-	if t.refine() {
+	if t.expects(seen) && t.refine() {
 		return
 	}
-	t.period = 0
+	// The rhythm was wrong or has moved. Its period is tried first.
+	t.hint, t.period = t.period, 0
 	t.began = t.at
-	// Changes that led to a wrong rhythm would lead to it again.
 	t.changes = []bracket{seen}
 }
 
+// expects reports whether a change that was seen fits the rhythm.
+func (t *Tracker) expects(seen bracket) bool {
+	for n := time.Duration(-1); n <= 1; n++ {
+		if _, ok := intersect(t.boundary.add(n*t.period), seen); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // contained reports whether the whole span of an expected change lies in seen.
 func (t *Tracker) contained(seen bracket) bool {
 	for n := time.Duration(-1); n <= 1; n++ {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -48,12 +48,13 @@
 
 // Config holds what an Exchange needs. All fields are required.
 type Config struct {
-	Self    fleet.VM
-	Servers *fleet.Table
-	Tables  []*replica.Table
-	Seen    *Seen
-	Client  *sibling.Client
-	VMs     func() []fleet.VM // registered VMs, this one included
+	Self     fleet.VM
+	Servers  *fleet.Table
+	Tables   []*replica.Table
+	Seen     *Seen
+	Client   *sibling.Client
+	VMs      func() []fleet.VM // registered VMs, this one included
+	RegionOf func(domain string) string
 	// Needed reports whether requests that arrive in region may have to go to
 	// servers of a service that stand in this VM's region.
 	Needed func(service, region string) bool
@@ -154,7 +155,7 @@
 			l = &link{x: x, domain: domain, suspects: map[string]time.Time{}}
 			x.links[domain] = l
 		}
-		wanted := domain == x.cfg.Self.FailureDomain || x.relay.Load()
+		wanted := x.wants(domain)
 		if !l.busy.CompareAndSwap(false, true) {
 			continue
 		}
@@ -165,6 +166,19 @@
 	}
 }
 
+// wants reports whether this VM subscribes in a failure domain. The readings of
+// another region cross the link once, to the first relay, which passes them on.
+func (x *Exchange) wants(domain string) bool {
+	switch {
+	case domain == x.cfg.Self.FailureDomain:
+		return true
+	case x.cfg.RegionOf(domain) == x.cfg.Self.Region:
+		return x.relay.Load()
+	default:
+		return x.FirstRelay(time.Now())
+	}
+}
+
 // Order returns the VMs of a failure domain in the order in which they become
 // its relay: strong ones first, since a relay sends to all others.
 func Order(vms []fleet.VM, domain string) []fleet.VM {
--- a/internal/news/news_test.go
+++ b/internal/news/news_test.go
@@ -50,6 +50,7 @@
 	c.vms.Store(&[]fleet.VM{})
 	servers := []fleet.Server{
 		{ID: "s-a", Service: "svc", FailureDomain: "a", Slots: 2, Address: "10.0.0.1:1"},
+		{ID: "s-c", Service: "svc", FailureDomain: "c", Slots: 2, Address: "10.0.0.3:1"},
 		{ID: "s-b", Service: "svc", FailureDomain: "b", Slots: 2, Address: "10.0.0.2:1"},
 	}
 	var all []fleet.VM
@@ -66,7 +67,8 @@
 		n.exchange = news.New(news.Config{
 			Self: n.vm, Servers: n.servers, Tables: []*replica.Table{n.table}, Seen: n.seen, Client: n.client,
 			VMs: func() []fleet.VM { return *c.vms.Load() }, Changed: func(bool) {},
-			Needed: func(string, string) bool { return true }, Logger: log.NewNopLogger(),
+			RegionOf: func(domain string) string { return map[string]string{"a": "r", "b": "r", "c": "q"}[domain] },
+			Needed:   func(string, string) bool { return true }, Logger: log.NewNopLogger(),
 		})
 		n.server = sibling.NewServer(l, handler{n.exchange}, log.NewNopLogger())
 		go func() { _ = n.server.Serve() }()
@@ -151,6 +153,25 @@
 	})
 }
 
+// Guards against readings of another region that reach only the VM at the link.
+func TestReadingsOfAnotherRegionReachAllVMs(t *testing.T) {
+	c := newCluster(t, [2]string{"a", "r"}, [2]string{"b", "r"}, [2]string{"b", "r"}, [2]string{"c", "q"}, [2]string{"c", "q"})
+	measurer := c.nodes[3]
+	if measurer.exchange.Relay() {
+		measurer = c.nodes[4]
+	}
+	c.eventually("the reading at all VMs", func() bool {
+		measurer.servers.Observe("s-c", reading(4))
+		measurer.exchange.Poke()
+		for _, n := range c.nodes {
+			if r, _ := n.servers.Reading("s-c"); r.Load.Slowdown != 4 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Guards against VMs that stay without news after their relay was lost, and
 // against its requests in progress that are counted for ever.
 func TestAnotherVMBecomesRelay(t *testing.T) {
--- a/internal/news/peer.go
+++ b/internal/news/peer.go
@@ -226,11 +226,12 @@
 	}
 	changed, state := p.x.cfg.Servers.ChangedSince(since)
 	p.sentChange = state
+	firstRelay := p.x.FirstRelay(now)
 	for _, c := range changed {
 		if c.Reading.At.IsZero() || c.Reading.Source == p.vm.ID || now.Sub(c.Reading.At) > staleReading {
 			continue
 		}
-		if !p.near && c.Server.FailureDomain != p.x.cfg.Self.FailureDomain {
+		if !p.near && !p.passesOn(c.Server.FailureDomain, firstRelay) {
 			continue
 		}
 		if !p.subscriber && c.Reading.Source != "" {
@@ -244,6 +245,16 @@
 	}
 }
 
+// passesOn reports whether readings of a failure domain go to the relay of
+// another one: those of the own domain, and within the region those that came
+// over the link to the first relay.
+func (p *peer) passesOn(domain string, firstRelay bool) bool {
+	if domain == p.x.cfg.Self.FailureDomain {
+		return true
+	}
+	return firstRelay && p.sameRegion && p.x.cfg.RegionOf(domain) != p.x.cfg.Self.Region
+}
+
 // number returns the number of a server on this stream and announces new ones.
 func (p *peer) number(server string, m *siblingpb.News) uint32 {
 	n, ok := p.numbers[server]
@@ -268,7 +279,7 @@
 		return true
 	}
 	if !p.sameRegion && !p.x.cfg.Needed(c.Server.Service, p.vm.Region) {
-		return false
+		return false // the next full set tells
 	}
 	const step = 0.15 // relative change of speed that placement notices
 	if d := r.Load.Slowdown - before.Load.Slowdown; d > step*before.Load.Slowdown || -d > step*before.Load.Slowdown {
--- a/internal/sibling/client.go
+++ b/internal/sibling/client.go
@@ -220,7 +220,7 @@
 	if c.count != nil {
 		conn = &countedConn{Conn: conn, address: address, count: c.count}
 	}
-	mux, err := yamux.Client(conn, newConfig())
+	mux, err := yamux.Client(&frameConn{Conn: conn}, newConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/sibling/server.go
+++ b/internal/sibling/server.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			return err
 		}
-		mux, err := yamux.Server(conn, newConfig())
+		mux, err := yamux.Server(&frameConn{Conn: conn}, newConfig())
 		if err != nil {
 			_ = conn.Close()
 			continue
--- a/internal/sibling/session.go
+++ b/internal/sibling/session.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"time"
@@ -40,6 +41,39 @@
 	return c
 }
 
+// frameHeader is the length of the header of a yamux frame. Unit: bytes.
+const frameHeader = 12
+
+// frameConn sends the header of a yamux frame together with its body, which
+// yamux writes one after the other from one goroutine. News are many short
+// frames; each write costs a system call and mostly a packet.
+type frameConn struct {
+	net.Conn
+	held []byte // header that waits for its body
+}
+
+// Write implements net.Conn.
+func (c *frameConn) Write(p []byte) (int, error) {
+	if len(c.held) == 0 && len(p) == frameHeader && carriesBody(p) {
+		c.held = append(c.held, p...)
+		return len(p), nil
+	}
+	if len(c.held) == 0 {
+		return c.Conn.Write(p)
+	}
+	out := append(c.held, p...) //nolint:gocritic // held is emptied below
+	held := len(c.held)
+	c.held = out[:0]
+	n, err := c.Conn.Write(out)
+	return max(n-held, 0), err
+}
+
+// carriesBody reports whether a frame's body follows its header: data frames
+// (type 0) of some length.
+func carriesBody(header []byte) bool {
+	return header[1] == 0 && binary.BigEndian.Uint32(header[8:]) > 0
+}
+
 // stream reads and writes length-delimited messages. One goroutine may read
 // while another writes.
 type stream struct {
