placement: hold requests at the VM instead of queueing them at a server

Ruled out: a longer queue at the server; its order is fixed and its head may be slow. Change: servers without a free slot are no candidates.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// queueAtServer is the number of requests that may wait at a server beyond
-	// its slots. Each further one is served after another of unknown length.
-	queueAtServer = 1
 	// lastSlotFactor is the slowdown assumed for the last free slot of a server:
 	// some servers work slower when they are nearly full.
 	lastSlotFactor = 1.3
@@ -177,8 +174,8 @@
 	ties := 0
 	for i, c := range candidates {
 		usable = true
-		if c.Blocked || c.Busy >= c.Slots+queueAtServer {
-			continue
+		if c.Blocked || c.Busy >= c.Slots {
+			continue // a request waits better here, where any free server can take it
 		}
 		e := (float64(Estimate(r.Work, c)) + float64(costs.of(c))) * doubt(c)
 		switch {
@@ -200,14 +197,11 @@
 	return best, Estimate(r.Work, candidates[best]), usable
 }
 
-// Estimate returns the time from sending to c until its answer is complete.
+// Estimate returns the time from sending to c, which has a free slot, until its
+// answer is complete.
 func Estimate(work time.Duration, c Candidate) time.Duration {
 	t := float64(work) * expectedSlowdown(c)
-	switch slots := max(c.Slots, 1); {
-	case c.Busy >= slots:
-		t += t * float64(c.Busy-slots+1) / float64(slots)
-		t *= lastSlotFactor
-	case c.Busy == slots-1 && slots > 1:
+	if c.Busy == c.Slots-1 && c.Slots > 1 {
 		t *= lastSlotFactor
 	}
 	return time.Duration(t)
