--- a/internal/settings/docs_test.go
+++ b/internal/settings/docs_test.go
@@ -13,8 +13,8 @@
 
 // Guards against a setting or default that the page for operators does not
 // show, or shows with another value.
-var _ = Describe("docs/operations.md", func() {
-	page, err := os.ReadFile("../../docs/operations.md")
+var _ = Describe("docs/OPERATIONS.md", func() {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	Expect(err).NotTo(HaveOccurred())
 	fields := reflect.VisibleFields(reflect.TypeFor[settings.Settings]())
 	for _, field := range fields {
