--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -151,7 +151,8 @@
 			f.next = now.Add(longestPause)
 			continue
 		}
-		if _, ok := m.workers.TrySubmit(func() { m.measure(ctx, f, f.server, svc.HealthPath) }); ok {
+		server := f.server // changes under the lock only
+		if _, ok := m.workers.TrySubmit(func() { m.measure(ctx, f, server, svc.HealthPath) }); ok {
 			f.busy = true
 		}
 	}
