Remove entries of VMs that are gone; split the handler; one copy of the metrics report

Change: the reader of a region removes entries after 60 s of silence, and a VM whose entry is missing writes it again; internal/front in files by job; internal/metrics for both daemons. Measured: a test of the silence; all tests of the packages pass with the race detector.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -77,10 +77,7 @@
 	Sent bool
 	// Refused is true if the server's address refused the connection.
 	Refused bool
-	// Stale is true if the connection had been idle and broke before any byte
-	// of an answer.
-	Stale bool
-	Err   error
+	Err     error
 }
 
 // Error implements the error interface.
@@ -117,8 +114,8 @@
 			err = cause
 		}
 		return nil, &ExchangeError{
-			Sent: true, Stale: c.used && !ex.answered,
-			Err: fmt.Errorf("exchange with backend server %s: %w", server.ID, err),
+			Sent: true,
+			Err:  fmt.Errorf("exchange with backend server %s: %w", server.ID, err),
 		}
 	}
 	return resp, nil
@@ -176,7 +173,6 @@
 	method string
 	stop   func() bool
 
-	answered bool // a byte of an answer arrived
 	strays   int
 	written  atomic.Bool // the whole request is written
 	writeErr atomic.Pointer[error]
@@ -246,7 +242,6 @@
 	if _, err := ex.conn.r.Peek(1); err != nil {
 		return nil, fmt.Errorf("wait for the answer: %w", noEOF(err))
 	}
-	ex.answered = true
 	resp, err := http.ReadResponse(ex.conn.r, out) //nolint:bodyclose // exchangeBody or skip closes it
 	if err != nil {
 		return nil, fmt.Errorf("read the answer: %w", noEOF(err))
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -42,7 +42,6 @@
 	address string
 	idleFor time.Duration // how long it may stay idle
 	since   time.Time     // start of the idle time
-	used    bool          // carried a request before
 }
 
 // usable reports whether an idle connection is still open and has no bytes
@@ -147,7 +146,7 @@
 	if d, ok := parseKeepAlive(keepAlive); ok {
 		c.idleFor = max(d-idleMargin, 0)
 	}
-	c.since, c.used = time.Now(), true
+	c.since = time.Now()
 	if c.idleFor == 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -8,6 +8,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/inventory"
 	"goldcresthinge.example/goldcresthinge/internal/lease"
 	"goldcresthinge.example/goldcresthinge/internal/membership"
+	"goldcresthinge.example/goldcresthinge/internal/metrics"
 	"goldcresthinge.example/goldcresthinge/internal/regionclaim"
 	"goldcresthinge.example/goldcresthinge/internal/rollout"
 	"goldcresthinge.example/goldcresthinge/internal/vm"
@@ -40,6 +41,6 @@
 		Owner:    do.MustInvoke[*regionclaim.Owner](i),
 		Clock:    do.MustInvoke[quartz.Clock](i),
 		Logger:   do.MustInvoke[log.Logger](i),
-		Scope:    do.MustInvoke[*metricsReport](i).scope,
+		Scope:    do.MustInvoke[*metrics.Report](i).Scope,
 	}), nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/inventory"
 	"goldcresthinge.example/goldcresthinge/internal/lease"
 	"goldcresthinge.example/goldcresthinge/internal/membership"
+	"goldcresthinge.example/goldcresthinge/internal/metrics"
 	"goldcresthinge.example/goldcresthinge/internal/operator"
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/httpplatform"
@@ -70,7 +71,7 @@
 	settings *settings.Settings
 	log      log.Logger
 	workers  pond.Pool
-	metrics  *metricsReport
+	metrics  *metrics.Report
 
 	config  *rollout.Store
 	keeper  *lease.Keeper
@@ -171,7 +172,7 @@
 		settings:  s,
 		log:       log.With(logger, "part", "daemon"),
 		workers:   do.MustInvoke[pond.Pool](i),
-		metrics:   do.MustInvoke[*metricsReport](i),
+		metrics:   do.MustInvoke[*metrics.Report](i),
 		config:    do.MustInvoke[*rollout.Store](i),
 		keeper:    do.MustInvoke[*lease.Keeper](i),
 		members:   do.MustInvoke[*membership.Table](i),
@@ -199,7 +200,7 @@
 	d.operators = newHTTPServer(operator.New(operator.Config{
 		Configuration: d.config,
 		Process:       d,
-		Metrics:       d.metrics.handler,
+		Metrics:       d.metrics.Handler,
 		Logger:        logger,
 		Now:           time.Now,
 	}))
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -73,7 +73,7 @@
 	d.sender.Close()
 	d.workers.StopAndWait()
 	_ = d.operators.Close()
-	_ = d.metrics.close()
+	_ = d.metrics.Close()
 	_ = level.Info(d.log).Log("msg", "stopped")
 }
 
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -4,17 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/coder/quartz"
 	"github.com/go-kit/log"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
-	"github.com/uber-go/tally/v4"
-	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"goldcresthinge.example/goldcresthinge/api/siblingpb"
 	"goldcresthinge.example/goldcresthinge/internal/backend"
@@ -26,6 +22,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/lease"
 	"goldcresthinge.example/goldcresthinge/internal/logging"
 	"goldcresthinge.example/goldcresthinge/internal/membership"
+	"goldcresthinge.example/goldcresthinge/internal/metrics"
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/httpplatform"
 	"goldcresthinge.example/goldcresthinge/internal/regionclaim"
@@ -86,13 +83,6 @@
 	ready   func(now time.Time) bool
 }
 
-// metricsReport is the tally scope with the handler that shows it.
-type metricsReport struct {
-	scope   tally.Scope
-	handler http.Handler
-	close   func() error
-}
-
 // provide registers the constructors of all parts. Nothing runs before Start.
 func provide(i do.Injector, s *settings.Settings, o options) {
 	do.ProvideValue(i, s)
@@ -135,23 +125,14 @@
 	return logging.New(w, s.LogFormat, s.ID)
 }
 
-func provideMetrics(i do.Injector) (*metricsReport, error) {
+func provideMetrics(i do.Injector) (*metrics.Report, error) {
 	s := do.MustInvoke[*settings.Settings](i)
-	// A registry of its own lets several entry VMs run in one process.
-	registry := prometheus.NewRegistry()
-	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "goldcresthinge",
-		Tags:           map[string]string{"vm": s.ID, "region": s.Region},
-		CachedReporter: reporter,
-		Separator:      tallyprom.DefaultSeparator,
-	}, metricsInterval)
-	return &metricsReport{scope: scope, handler: reporter.HTTPHandler(), close: closer.Close}, nil
+	return metrics.New(s.ID, s.Region), nil
 }
 
 func provideSiblingClient(i do.Injector, o options) (*sibling.Client, error) {
 	table := do.MustInvoke[*dispatch.Table](i)
-	scope := do.MustInvoke[*metricsReport](i).scope
+	scope := do.MustInvoke[*metrics.Report](i).Scope
 	clock := do.MustInvoke[quartz.Clock](i)
 	sent, received := scope.Counter("sibling_bytes_sent"), scope.Counter("sibling_bytes_received")
 	observe := func(l *siblingpb.PoolLoad) { observeLoad(clock.Now(), table, l) }
@@ -240,7 +221,7 @@
 		Seeds:   s.Seeds,
 		Clock:   do.MustInvoke[quartz.Clock](i),
 		Logger:  do.MustInvoke[log.Logger](i),
-		Metrics: do.MustInvoke[*metricsReport](i).scope,
+		Metrics: do.MustInvoke[*metrics.Report](i).Scope,
 	})
 	do.MustInvoke[*link](i).config = config
 	return config, nil
@@ -258,7 +239,7 @@
 		Ready:      func(now time.Time) bool { return ln.ready(now) },
 		Clock:      do.MustInvoke[quartz.Clock](i),
 		Log:        do.MustInvoke[log.Logger](i),
-		Scope:      do.MustInvoke[*metricsReport](i).scope,
+		Scope:      do.MustInvoke[*metrics.Report](i).Scope,
 		QueueLimit: s.QueueLimit,
 		Ended: func(id inventory.PoolID, epoch uint64, target string) {
 			ln.ended(id, epoch, target)
@@ -289,7 +270,7 @@
 		keeper,
 		do.MustInvoke[quartz.Clock](i),
 		do.MustInvoke[log.Logger](i),
-		do.MustInvoke[*metricsReport](i).scope,
+		do.MustInvoke[*metrics.Report](i).Scope,
 	), nil
 }
 
@@ -309,7 +290,7 @@
 		Ready:            func(now time.Time) bool { return ln.ready(now) },
 		Clock:            do.MustInvoke[quartz.Clock](i),
 		Log:              do.MustInvoke[log.Logger](i),
-		Scope:            do.MustInvoke[*metricsReport](i).scope,
+		Scope:            do.MustInvoke[*metrics.Report](i).Scope,
 		MaxCalls:         s.ServiceConcurrency,
 		MaxBody:          int64(s.MaxBodyBytes),
 		MaxBufferedBytes: bufferedBodies,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -19,11 +18,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/samber/do/v2"
-	"github.com/uber-go/tally/v4"
 
 	"goldcresthinge.example/goldcresthinge/internal/backend"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/front"
+	"goldcresthinge.example/goldcresthinge/internal/metrics"
 	"goldcresthinge.example/goldcresthinge/internal/news"
 	"goldcresthinge.example/goldcresthinge/internal/retry"
 	"goldcresthinge.example/goldcresthinge/internal/settings"
@@ -42,10 +41,9 @@
 	refreshInterval = 200 * time.Millisecond
 	// probeWorkers bounds measurements at once.
 	probeWorkers = 64
-	// registerTimeout bounds a write of this VM's entry.
-	registerTimeout = 2 * time.Second
-	// registerPause is the pause after a write that was not confirmed.
-	registerPause = 500 * time.Millisecond
+	// operatorTimeout bounds the head of a request to the addresses for checks,
+	// metrics and dumps.
+	operatorTimeout = 2 * time.Second
 	// maxHeaderBytes bounds what net/http reads of a head. The configuration's
 	// own limit is checked afterwards.
 	maxHeaderBytes = 1 << 20
@@ -64,7 +62,7 @@
 	room     *waiting.Room
 	measurer *measurer
 	readers  []*reader
-	metrics  *metricsReport
+	metrics  *metrics.Report
 
 	callers    *http.Server
 	readiness  *http.Server
@@ -81,13 +79,8 @@
 	stopOnce   sync.Once
 	stopped    chan struct{}
 	registered atomic.Bool
-}
-
-// metricsReport is the tally scope with the handler that shows it.
-type metricsReport struct {
-	scope   tally.Scope
-	handler http.Handler
-	close   func() error
+	seen       *news.Seen
+	silent     silence // used by forgetVMs only
 }
 
 // Start runs an entry VM with the node settings that options name. It returns
@@ -152,7 +145,7 @@
 		world:     do.MustInvoke[*world](i),
 		pool:      do.MustInvoke[*backend.Pool](i),
 		client:    do.MustInvoke[*sibling.Client](i),
-		metrics:   do.MustInvoke[*metricsReport](i),
+		metrics:   do.MustInvoke[*metrics.Report](i),
 		listeners: l,
 		stopped:   make(chan struct{}),
 	}
@@ -161,6 +154,7 @@
 	e.store = platform.NewStore(func() string { return e.node.Load().Store.Address })
 	logger := do.MustInvoke[log.Logger](i)
 	seen := news.NewSeen()
+	e.seen = seen
 	e.exchange = news.New(news.Config{
 		Self: e.self, Servers: e.world.fleet, Tables: e.world.tables(), Seen: seen, Client: e.client,
 		VMs: e.world.VMs, Changed: e.newsArrived, RegionOf: e.world.Region, Needed: e.world.needed, Logger: logger,
@@ -208,15 +202,15 @@
 	handler := front.NewHandler(front.Config{
 		Protocol: platform.Headers{}, Routes: e.world.routes.Load, Fleet: fl, Room: e.room, Pool: e.pool,
 		Work: front.NewWorkTimes(), Budget: retry.NewWindowBudget(), Limits: e.retryLimits,
-		VMs: func() int { return len(e.world.VMs()) }, RegionOf: e.world.Region, Closing: e.closing.Load,
-		Metrics: front.NewMetrics(e.metrics.scope), Logger: logger,
+		VMs: func() int { return len(e.world.VMs()) }, Closing: e.closing.Load,
+		Metrics: front.NewMetrics(e.metrics.Scope), Logger: logger,
 	})
 	e.callers = front.NewServer(e.countActive(handler), maxHeaderBytes)
-	e.readiness = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: registerTimeout}
+	e.readiness = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: operatorTimeout}
 	observe := http.NewServeMux()
-	observe.Handle("GET /metrics", e.metrics.handler)
+	observe.Handle("GET /metrics", e.metrics.Handler)
 	observe.HandleFunc("GET /dump", e.serveDump)
-	e.observe = &http.Server{Handler: observe, ReadHeaderTimeout: registerTimeout}
+	e.observe = &http.Server{Handler: observe, ReadHeaderTimeout: operatorTimeout}
 	e.siblings = sibling.NewServer(e.listeners.siblings, siblingHandler{Exchange: e.exchange}, logger)
 }
 
@@ -270,6 +264,7 @@
 	e.loop("register", e.register)
 	e.loop("wake", e.every(wakeInterval, func(time.Time) { e.room.Wake() }))
 	e.loop("refresh", e.every(refreshInterval, e.world.refresh))
+	e.loop("forget", e.every(registeredInterval, e.forgetVMs))
 	e.loop("sweep", e.every(sweepInterval, func(now time.Time) {
 		e.pool.Sweep(now, func(id string) bool { _, ok := e.world.fleet.Server(id); return ok })
 	}))
@@ -318,28 +313,3 @@
 		}
 	}()
 }
-
-// register writes this VM's entry until the store has confirmed it.
-func (e *Entry) register(ctx context.Context) error {
-	value, err := platform.EncodeVM(e.self)
-	if err != nil {
-		return err
-	}
-	for {
-		call, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := e.store.Set(call, platform.TableVMs, e.self.ID, value)
-		cancel()
-		if err == nil {
-			e.registered.Store(true)
-			_ = level.Info(e.log).Log("msg", "registered", "address", e.self.Address)
-			return nil
-		}
-		_ = level.Warn(e.log).Log("msg", "entry of this VM not written", "err", err)
-		pause := registerPause + time.Duration(rand.Int64N(int64(registerPause))) //nolint:gosec // no secret
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(pause):
-		}
-	}
-}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -185,3 +185,27 @@
 		}
 	}
 }
+
+// Guards against entries of VMs that are gone for good and stay for ever, and
+// against entries that are removed during a short silence.
+func TestEntriesOfSilentVMsAreRemovedAfterAWhile(t *testing.T) {
+	self := fleet.VM{ID: "1", Region: "r"}
+	quiet, loud, far := fleet.VM{ID: "2", Region: "r"}, fleet.VM{ID: "3", Region: "r"}, fleet.VM{ID: "4", Region: "q"}
+	registered := []fleet.VM{self, quiet, loud, far}
+	var s silence
+	for second := range 59 {
+		alive := []fleet.VM{loud}
+		if second < 20 {
+			alive = append(alive, quiet)
+		}
+		if got := s.expired(after(1000*second), registered, alive, self); len(got) > 0 {
+			t.Fatalf("%v removed after %d s", got, second)
+		}
+	}
+	if got := s.expired(after(1000*79), registered, []fleet.VM{loud}, self); len(got) != 0 {
+		t.Errorf("%v removed after 59 s of silence", got)
+	}
+	if got := s.expired(after(1000*80), registered, []fleet.VM{loud}, self); len(got) != 1 || got[0] != "2" {
+		t.Errorf("%v removed after 60 s of silence, want the quiet VM", got)
+	}
+}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -188,6 +188,7 @@
 	t.Helper()
 	d := &deployment{t: t, store: &store{rows: map[string]map[string]storeRow{}}}
 	d.address = serve(t, d.store)
+	t.Cleanup(d.stop)
 	d.configure(1, "svc")
 	for _, domain := range []string{"a", "a", "b", "b"} {
 		s := &server{id: fmt.Sprintf("s-%d", len(d.servers)), domain: domain, runs: &d.runs}
@@ -241,10 +242,15 @@
 		d.t.Fatal(err)
 	}
 	d.vms = append(d.vms, n)
-	d.t.Cleanup(func() {
+}
+
+func (d *deployment) stop() {
+	for _, n := range d.vms {
 		n.entry.Drain()
+	}
+	for _, n := range d.vms {
 		<-n.entry.Done()
-	})
+	}
 }
 
 // call sends a request with a new id on the connections of client and returns
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -6,19 +6,16 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime"
-	"time"
 
 	"github.com/go-kit/log"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
-	"github.com/uber-go/tally/v4"
-	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"goldcresthinge.example/goldcresthinge/api/siblingpb"
 	"goldcresthinge.example/goldcresthinge/internal/backend"
 	"goldcresthinge.example/goldcresthinge/internal/call"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/logging"
+	"goldcresthinge.example/goldcresthinge/internal/metrics"
 	"goldcresthinge.example/goldcresthinge/internal/news"
 	"goldcresthinge.example/goldcresthinge/internal/outcome"
 	"goldcresthinge.example/goldcresthinge/internal/settings"
@@ -26,9 +23,6 @@
 	"goldcresthinge.example/goldcresthinge/platform"
 )
 
-// metricsInterval is the pause between two reports of tally.
-const metricsInterval = time.Second
-
 // milli is the number of thousandths in one.
 const milli = 1000
 
@@ -49,17 +43,9 @@
 	do.Provide(i, provideMetrics)
 }
 
-func provideMetrics(i do.Injector) (*metricsReport, error) {
+func provideMetrics(i do.Injector) (*metrics.Report, error) {
 	node := do.MustInvoke[*platform.Node](i)
-	registry := prometheus.NewRegistry()
-	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "goldcresthinge",
-		Tags:           map[string]string{"vm": node.ID, "region": node.Region},
-		CachedReporter: reporter,
-		Separator:      tallyprom.DefaultSeparator,
-	}, metricsInterval)
-	return &metricsReport{scope: scope, handler: reporter.HTTPHandler(), close: closer.Close}, nil
+	return metrics.New(node.ID, node.Region), nil
 }
 
 // siblingHandler serves siblings. VMs on the platform forward no calls.
--- /dev/null
+++ b/internal/front/end.go
@@ -0,0 +1,80 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/placement"
+)
+
+// giveUp ends a request whose context has ended.
+func (q *request) giveUp(ctx context.Context, sent bool) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		q.log("caller-left", 0, "", nil)
+		q.h.cfg.Metrics.ended("caller-left")
+		panic(http.ErrAbortHandler)
+	case sent:
+		q.finish(http.StatusGatewayTimeout, "deadline", 0)
+	default:
+		q.refuse("deadline")
+	}
+}
+
+// refuse ends a request that has not run and will not.
+func (q *request) refuse(reason string) {
+	left := time.Until(q.deadline)
+	q.finish(http.StatusServiceUnavailable, reason, placement.RetryAfter(left, rand.Float64())) //nolint:gosec // no secret
+}
+
+func (q *request) finish(status int, reason string, retryAfter time.Duration) {
+	if reason == "no-configuration" {
+		retryAfter = notReadyRetryAfter
+	}
+	if retryAfter > 0 {
+		q.h.cfg.Protocol.SetRetryAfter(q.w.Header(), retryAfter)
+	}
+	q.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	q.w.WriteHeader(status)
+	_, err := io.WriteString(q.w, reason+"\n")
+	q.log("ended", status, reason, err)
+	q.h.cfg.Metrics.ended(reason)
+}
+
+func (q *request) logAttempt(server fleet.Server, sent time.Time, outcome string, err error) {
+	g := q.grant
+	_ = level.Info(q.h.cfg.Logger).Log("msg", "attempt failed", "request", q.id, "server", server.ID,
+		"outcome", outcome, "took_ms", time.Since(sent).Milliseconds(), "reading_age_ms", g.Age.Milliseconds(),
+		"slowdown", g.Chosen.Slowdown, "busy", g.Chosen.Busy, "attempt", q.attempts, "err", err)
+	q.h.cfg.Metrics.attemptFailed(outcome)
+}
+
+func (q *request) log(outcome string, status int, reason string, err error) {
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	g := q.grant
+	fields := []any{
+		"msg", "request", "request", q.id, "route", route, "service", q.service, "outcome", outcome,
+		"status", status, "server", g.Server, "decision", g.Reason, "waited_ms", g.Waited.Milliseconds(),
+		"reading_age_ms", g.Age.Milliseconds(), "slowdown", g.Chosen.Slowdown, "busy", g.Chosen.Busy,
+		"estimate_ms", g.Estimate.Milliseconds(), "candidates", g.Candidates, "attempts", q.attempts,
+		"total_ms", time.Since(q.arrived).Milliseconds(), "left_ms", time.Until(q.deadline).Milliseconds(),
+		"configuration", q.version,
+	}
+	if reason != "" {
+		fields = append(fields, "reason", reason)
+	}
+	if err != nil {
+		fields = append(fields, "err", err)
+	}
+	_ = level.Info(q.h.cfg.Logger).Log(fields...)
+}
--- /dev/null
+++ b/internal/front/prepare.go
@@ -0,0 +1,88 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+)
+
+// prepare finds the route and reads the body. A status other than zero ends
+// the request.
+func (q *request) prepare() (status int, reason string) {
+	id, patience, err := q.h.cfg.Protocol.Request(q.r.Header)
+	q.id = id
+	if err != nil {
+		return http.StatusBadRequest, "bad-deadline"
+	}
+	routes := q.h.cfg.Routes()
+	if routes == nil {
+		return http.StatusServiceUnavailable, "no-configuration"
+	}
+	q.version = routes.Version()
+	limits := routes.Limits()
+	if limits.HeaderBytes > 0 && headerBytes(q.r) > limits.HeaderBytes {
+		return http.StatusRequestHeaderFieldsTooLarge, "header-too-large"
+	}
+	if limits.BodyBytes > 0 && q.r.ContentLength > limits.BodyBytes {
+		return http.StatusRequestEntityTooLarge, "body-too-large"
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	route, ok := routes.Match(q.r.Host, path)
+	if !ok {
+		return http.StatusNotFound, "no-route"
+	}
+	q.route = route
+	q.service, ok = route.PickService(rand.Float64()) //nolint:gosec // no secret
+	if !ok {
+		return http.StatusServiceUnavailable, "route-without-service"
+	}
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	if route.Timeout > 0 {
+		patience = min(patience, route.Timeout)
+	}
+	q.deadline = q.arrived.Add(patience)
+	q.goal = q.arrived.Add(min(route.LatencyGoal, patience))
+	if route.LatencyGoal == 0 {
+		q.goal = q.deadline
+	}
+	return q.readBody(limits.BodyBytes)
+}
+
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+func (q *request) readBody(limit int64) (status int, reason string) {
+	if q.r.Body == nil || q.r.Body == http.NoBody {
+		return 0, ""
+	}
+	body := io.Reader(q.r.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(q.w, q.r.Body, limit)
+	}
+	var buf bytes.Buffer
+	_, err := io.CopyN(&buf, body, bufferedBody)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge, "body-too-large"
+	case errors.Is(err, io.EOF):
+		q.body = buf.Bytes()
+		return 0, ""
+	case err != nil:
+		return http.StatusBadRequest, "body-broken-off"
+	}
+	q.body, q.rest = buf.Bytes(), body
+	return 0, ""
+}
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -13,9 +13,7 @@
 
 // Ask is a request that needs a server.
 type Ask struct {
-	ID       string
 	Service  string
-	Route    string
 	Priority int // 0 is the highest
 	placement.Request
 	// AllowsRegion tells whether servers of a region may serve the request.
@@ -47,8 +45,6 @@
 
 // Room holds the waiting requests of a VM. It is safe for concurrent use.
 type Room struct {
-	fleet Fleet
-
 	mu      sync.Mutex
 	queue   placement.Queue
 	waiters map[*placement.Item]*waiter
@@ -61,7 +57,7 @@
 
 // NewRoom returns an empty Room.
 func NewRoom(fleet Fleet, costs placement.Costs) *Room {
-	r := &Room{fleet: fleet, waiters: map[*placement.Item]*waiter{}}
+	r := &Room{waiters: map[*placement.Item]*waiter{}}
 	r.queue = placement.Queue{
 		Costs: costs, Draw: rand.Float64, //nolint:gosec // no secret
 		Candidates: func(now time.Time, it *placement.Item) []placement.Candidate {
--- a/internal/waiting/waiting_test.go
+++ b/internal/waiting/waiting_test.go
@@ -40,10 +40,10 @@
 	f.free += n
 }
 
-func ask(id string, priority int) waiting.Ask {
+func ask(priority int) waiting.Ask {
 	now := time.Now()
 	return waiting.Ask{
-		ID: id, Service: "svc", Priority: priority,
+		Service: "svc", Priority: priority,
 		Request: placement.Request{Work: time.Millisecond, Goal: now.Add(time.Hour), Deadline: now.Add(2 * time.Hour)},
 	}
 }
@@ -62,22 +62,22 @@
 func TestHighRankGoesFirst(t *testing.T) {
 	f := &fleet{}
 	room := waiting.NewRoom(f, placement.Costs{})
-	order := make(chan string, 2)
+	order := make(chan int, 2)
 	var done sync.WaitGroup
-	for i, a := range []waiting.Ask{ask("low", 2), ask("high", 0)} {
+	for i, a := range []waiting.Ask{ask(2), ask(0)} {
 		done.Go(func() {
 			g, err := room.Acquire(t.Context(), a)
 			if err != nil || g.Action != placement.Send {
-				t.Errorf("%s: %v, %v", a.ID, g, err)
+				t.Errorf("rank %d: %v, %v", a.Priority, g, err)
 			}
-			order <- a.ID
+			order <- a.Priority
 		})
 		waitFor(t, room, i+1)
 	}
 	f.release(1)
 	room.Wake()
-	if first := <-order; first != "high" {
-		t.Errorf("%s went first", first)
+	if first := <-order; first != 0 {
+		t.Errorf("rank %d went first", first)
 	}
 	f.release(1)
 	room.Wake()
@@ -91,7 +91,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() {
-		_, err := room.Acquire(ctx, ask("a", 0))
+		_, err := room.Acquire(ctx, ask(0))
 		ended <- err
 	}()
 	waitFor(t, room, 1)
@@ -114,10 +114,10 @@
 	defer cancel()
 	const limit = 128
 	for i := range limit {
-		go func() { _, _ = room.Acquire(ctx, ask("high", 0)) }()
+		go func() { _, _ = room.Acquire(ctx, ask(0)) }()
 		waitFor(t, room, i+1)
 	}
-	g, err := room.Acquire(ctx, ask("low", 2))
+	g, err := room.Acquire(ctx, ask(2))
 	if err != nil || g.Action != placement.Refuse {
 		t.Errorf("%v, %v", g, err)
 	}
