--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -41,8 +41,6 @@
 	workQueue = 1024
 	// bufferedBodies bounds the request bodies held at once. Unit: bytes.
 	bufferedBodies = 64 << 20
-	// metricsInterval is the time between two reports of the metrics.
-	metricsInterval = time.Second
 )
 
 // lateHolder breaks the cycle between the keeper, which gives pools to the
