Pause reads of the store longer during an outage

Change: the pause doubles up to 4 s, with a spread, except for the reader of the region. Conclusion: kept; the reader still notices the store's return within 0.4 s.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -209,3 +209,22 @@
 		t.Errorf("%v removed after 60 s of silence, want the quiet VM", got)
 	}
 }
+
+// Guards against 140 VMs that call a store that is down as often as its reader,
+// and against a reader that notices its return late.
+func TestReadsPauseLongerDuringAnOutage(t *testing.T) {
+	calls := func(reader bool) (n int) {
+		for at := time.Duration(0); at < 10*time.Second; n++ {
+			at += pauseAfter(n+1, reader, 0.5)
+		}
+		return n
+	}
+	if n := calls(false); n > 6 {
+		t.Errorf("%d calls of a VM in 10 s", n)
+	}
+	for failures := range 50 {
+		if p := pauseAfter(failures+1, true, 0.99); p > failurePause {
+			t.Errorf("the reader pauses for %v after %d failures", p, failures+1)
+		}
+	}
+}
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log"
@@ -32,8 +33,11 @@
 	membersFactor = 4
 	// callSlack bounds a read beyond its wait. Slow stores answer in 0.3 s.
 	callSlack = 900 * time.Millisecond
-	// failurePause is the pause after a failed read.
-	failurePause = 400 * time.Millisecond
+	// failurePause is the pause after a failed read. For VMs other than the
+	// region's reader it doubles up to longestFailurePause, since they also get
+	// what the reader reads: during an outage, calls of 140 VMs gain nothing.
+	failurePause        = 400 * time.Millisecond
+	longestFailurePause = 4 * time.Second
 	// readTick is the pause between two looks at the age of a copy.
 	readTick = 50 * time.Millisecond
 )
@@ -55,6 +59,18 @@
 	changed    func()
 	log        log.Logger
 	failing    bool
+	failures   int // in a row
+}
+
+// pauseAfter returns the pause after a number of failed reads in a row. draw is
+// in [0, 1) and spreads the reads of many VMs.
+func pauseAfter(failures int, reader bool, draw float64) time.Duration {
+	pause := failurePause
+	for i := 1; i < failures && !reader && pause < longestFailurePause; i++ {
+		pause *= 2
+	}
+	pause = min(pause, longestFailurePause)
+	return pause/2 + time.Duration(draw*float64(pause/2))
 }
 
 func (r *reader) run(ctx context.Context) error {
@@ -77,8 +93,11 @@
 			continue
 		}
 		if err := r.read(ctx, version); err != nil {
-			pauseUntil = time.Now().Add(failurePause)
+			r.failures++
+			pauseUntil = time.Now().Add(pauseAfter(r.failures, r.exchange.FirstRelay(now), rand.Float64())) //nolint:gosec // no secret
+			continue
 		}
+		r.failures = 0
 	}
 }
 
