--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -228,3 +228,16 @@
 		}
 	}
 }
+
+// Guards against a stop that outlasts its grace time because a call of the store
+// hangs.
+func TestStopDoesNotWaitForWorkThatHangs(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	if waitAtMost(time.Millisecond, func() { <-release }) {
+		t.Error("reported as ended")
+	}
+	if !waitAtMost(time.Hour, func() {}) {
+		t.Error("reported as hanging")
+	}
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -75,12 +75,35 @@
 	e.cancel()
 	_ = e.readiness.Close()
 	_ = e.observe.Close()
+	if !waitAtMost(stopMargin/2, e.closeRest) {
+		// Calls of the store and of siblings may hang for longer than is left.
+		_ = level.Warn(e.log).Log("msg", "background work still runs at the end of the stop")
+	}
+	_ = level.Info(e.log).Log("msg", "stopped", "took_ms", time.Since(began).Milliseconds())
+	close(e.stopped)
+}
+
+// closeRest ends what callers do not see.
+func (e *Entry) closeRest() {
 	e.client.Close()
-	e.siblings.Close()
 	e.pool.Close()
+	e.siblings.Close()
 	e.loops.Wait()
-	_ = level.Info(e.log).Log("msg", "stopped", "took_ms", time.Since(began).Milliseconds())
-	close(e.stopped)
+}
+
+// waitAtMost runs f and reports whether it ended within d.
+func waitAtMost(d time.Duration, f func()) bool {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(d):
+		return false
+	}
 }
 
 func (e *Entry) unregister(ctx context.Context) {
