Tests: free ports that other processes cannot take

The test picks a free port, closes it, and lets the daemon listen there; listeners and outgoing connections of tests in other processes use the same range on the same address. Ruled out: load by itself; the error names the port, and the test had not called anything yet. Change: loopback.FreeAddress uses an IP address of 127.64.0.0/10 derived from the process.

--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -15,6 +15,7 @@
 
 	"goldcresthinge.example/goldcresthinge/internal/backend"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/standin/loopback"
 )
 
 // headers is a protocol with names of the tests' own.
@@ -235,12 +236,10 @@
 // Guards against a refused connection that is taken for a request that may have
 // run.
 func TestPoolTellsRefusedConnections(t *testing.T) {
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	_ = l.Close()
 	p := backend.NewPool(nil)
 	defer p.Close()
 	_, err = p.Do(t.Context(), headers{}, fleet.Server{ID: "s-1", Address: address}, get("1"))
--- a/internal/daemon/claims_test.go
+++ b/internal/daemon/claims_test.go
@@ -17,6 +17,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/daemon"
 	"goldcresthinge.example/goldcresthinge/internal/platform/standin"
 	"goldcresthinge.example/goldcresthinge/internal/settings"
+	"goldcresthinge.example/goldcresthinge/internal/standin/loopback"
 )
 
 const boundDocument = `
@@ -116,7 +117,9 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	l := httptest.NewUnstartedServer(nil).Listener
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
 }
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -17,6 +17,7 @@
 
 	"goldcresthinge.example/goldcresthinge/internal/entry"
 	"goldcresthinge.example/goldcresthinge/internal/settings"
+	"goldcresthinge.example/goldcresthinge/internal/standin/loopback"
 	"goldcresthinge.example/goldcresthinge/platform"
 )
 
@@ -162,12 +163,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func serve(t *testing.T, h http.Handler) string {
@@ -226,15 +226,15 @@
 func (d *deployment) start(domain string) {
 	d.t.Helper()
 	n := &node{callers: freeAddress(d.t), ready: freeAddress(d.t)}
-	_, port, err := net.SplitHostPort(freeAddress(d.t))
+	ip, port, err := net.SplitHostPort(freeAddress(d.t))
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	file := filepath.Join(d.t.TempDir(), "node.toml")
-	text := fmt.Sprintf("[self]\nnode = %q\nip = \"127.0.0.1\"\nzone = %q\nregion = \"r\"\n[network]\ninternal_ports = [%s, %s]\n"+
+	text := fmt.Sprintf("[self]\nnode = %q\nip = %q\nzone = %q\nregion = \"r\"\n[network]\ninternal_ports = [%s, %s]\n"+
 		"[network.listen]\nfront = %q\nready = %q\n%s[platform.platform]\naddress = %q\n[terms.bounds]\ngrace_s = 4\n"+
 		"retry_budget_ratio = 0.2\nretry_budget_slack = 50\nbudget_window_s = 10\nprobes_per_s = 60\ndrain_ms = 2000\nconfig_apply_ms = 2000\n",
-		fmt.Sprintf("vm-%d", len(d.vms)), domain, port, port, n.callers, n.ready, bothDomains, d.address)
+		fmt.Sprintf("vm-%d", len(d.vms)), ip, domain, port, port, n.callers, n.ready, bothDomains, d.address)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -25,6 +24,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/placement"
 	"goldcresthinge.example/goldcresthinge/internal/retry"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
+	"goldcresthinge.example/goldcresthinge/internal/standin/loopback"
 	"goldcresthinge.example/goldcresthinge/internal/waiting"
 )
 
@@ -236,10 +236,9 @@
 	})
 
 	It("goes on to another server if nothing listens at the first", func() {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		address, err := loopback.FreeAddress()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(l.Close()).To(Succeed())
-		world.list = append(world.list, fleet.Server{ID: "s-1", Address: l.Addr().String()})
+		world.list = append(world.list, fleet.Server{ID: "s-1", Address: address})
 		add(ok)
 		resp, _, err := send("POST", "/once/a", "x")
 		Expect(err).NotTo(HaveOccurred())
