A lost measurement keeps a server's coldness

Cause: found in the read-through: a measurement without an answer recorded no coldness, so that a cold server counted as warm until the next one, and all VMs could send to it. Change: the rest of the known time is kept; nextReading is a function of its own. Measured: its test fails with the former code and passes now. Conclusion: mended.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"goldcresthinge.example/goldcresthinge/internal/backend"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
@@ -241,3 +243,15 @@
 		t.Error("reported as hanging")
 	}
 }
+
+// Guards against a cold server that counts as warm after one lost measurement.
+func TestLostMeasurementKeepsColdness(t *testing.T) {
+	before := fleet.Reading{At: after(0), Health: fleet.Healthy, ColdFor: 3 * time.Second}
+	r := nextReading(before, after(1000), backend.Answer{}, context.DeadlineExceeded)
+	if !r.Cold(after(2900)) || r.Cold(after(3100)) {
+		t.Errorf("cold for %v after 1 s", r.ColdFor)
+	}
+	if r.Health != fleet.Healthy || r.Misses != 1 {
+		t.Errorf("health %v, %d misses", r.Health, r.Misses)
+	}
+}
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -167,11 +167,26 @@
 		return
 	}
 	before, _ := m.world.fleet.Reading(s.ID)
+	r := nextReading(before, sent, answer, err)
+	m.schedule(f, &r, sent, received, err == nil && answer.Load != nil)
+	if before.Health != r.Health || before.Cold(sent) != r.Cold(sent) {
+		_ = level.Info(m.log).Log("msg", "server measured", "server", s.ID, "health", r.Health, "was", before.Health,
+			"cold_ms", r.ColdFor.Milliseconds(), "misses", r.Misses, "err", err)
+	}
+	if m.world.fleet.Observe(s.ID, r) {
+		m.changed()
+	}
+}
+
+// nextReading returns the reading after a measurement that was sent at sent. One
+// without an answer keeps what was known, coldness included.
+func nextReading(before fleet.Reading, sent time.Time, answer backend.Answer, err error) fleet.Reading {
 	r := fleet.Reading{At: sent, Load: before.Load, ColdFor: answer.ColdFor}
 	switch {
 	case err != nil:
 		r.Misses = before.Misses + 1
 		r.Health = before.Health
+		r.ColdFor = max(before.ColdFor-sent.Sub(before.At), 0)
 		if r.Misses >= missesUntilUnreachable || errors.Is(err, syscall.ECONNREFUSED) {
 			r.Health = fleet.Unreachable
 		}
@@ -183,14 +198,7 @@
 	if answer.Load != nil {
 		r.Load = *answer.Load
 	}
-	m.schedule(f, &r, sent, received, err == nil && answer.Load != nil)
-	if before.Health != r.Health || before.Cold(sent) != r.Cold(sent) {
-		_ = level.Info(m.log).Log("msg", "server measured", "server", s.ID, "health", r.Health, "was", before.Health,
-			"cold_ms", r.ColdFor.Milliseconds(), "misses", r.Misses, "err", err)
-	}
-	if m.world.fleet.Observe(s.ID, r) {
-		m.changed()
-	}
+	return r
 }
 
 // schedule sets the time of the next measurement, and until when the speed of r
