Fault soak of entry VMs; cold servers bear what all processes send

Cause: no test ran the daemon as separate processes under faults from outside. internal/soak does: a relay that delays, resets, cuts and silences, signals that stop, pause, kill and restart, a store that loses answers and forgets, servers that crash and answer wrongly. Ruled out: two VMs that both believe to measure the server (the messages list three processes); requests held up by a link (left out by the check). Change: internal/quota decides what a VM may use of such limits. A duty counts after a second, unless the server has just come; a part that grows counts a second later; groups that do not hear each other share the limit by their size; two VMs of a failure domain, instead of all, send to a server without a reading. The stand-ins of store and servers moved from the path test to platform/platformtest. loopback.FreeAddress gives each port once and lets no fork inherit its listener, which made other listeners fail with several deployments at once.

--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,9 @@
 
 # The process tests have bounds in real time, so they run on their own.
 test:
-	go test $(TESTFLAGS) $$(go list ./... | grep -v /internal/e2e)
+	go test $(TESTFLAGS) $$(go list ./... | grep -v -e /internal/e2e -e /internal/soak)
 	go test $(TESTFLAGS) ./internal/e2e
+	go test $(TESTFLAGS) ./internal/soak
 
 lint:
 	go vet ./...
--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -1,17 +1,14 @@
 package entry
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/samber/lo"
-
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/placement"
+	"goldcresthinge.example/goldcresthinge/internal/quota"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
-	"goldcresthinge.example/goldcresthinge/internal/vm"
 	"goldcresthinge.example/goldcresthinge/internal/waiting"
 	"goldcresthinge.example/goldcresthinge/platform"
 )
@@ -20,9 +17,6 @@
 	// knownFor is the age of a reading up to which the server is known not to be
 	// cold. Older ones are as good as none.
 	knownFor = 1500 * time.Millisecond
-	// unknownPerSecond bounds what one VM sends to a server without a reading,
-	// which may be cold.
-	unknownPerSecond = 1
 )
 
 // costs are the time that a server of another failure domain has to win.
@@ -103,33 +97,23 @@
 	}
 }
 
-// blocked reports whether a cold server has had its share of this second. Only
-// the VM that measures a cold server sends to it; half of the limit is left for
-// a second VM that believes so as well.
+// blocked reports whether a server that is or may be cold has had this VM's share
+// of the second.
 func (c *candidates) blocked(now time.Time, v *fleet.View) bool {
-	if now.Sub(v.Reading.At) > knownFor {
-		return v.Server.FailureDomain != c.world.self.FailureDomain || v.SentInSecond >= unknownPerSecond
-	}
-	if !v.Reading.Cold(now) {
+	known := now.Sub(v.Reading.At) <= knownFor
+	cold := v.Reading.Cold(now)
+	if known && !cold {
 		return false
 	}
-	return !c.duties.measures(v.Server.ID) || v.SentInSecond >= c.coldShare(v.Server.Service)
-}
-
-// coldShare is the number of requests that one VM may send to a cold server
-// within a second.
-func (c *candidates) coldShare(service string) int {
-	routes := c.routes()
-	if routes == nil {
-		return unknownPerSecond
-	}
-	svc, _ := routes.Service(service)
-	if svc.ColdRate <= 0 {
-		return math.MaxInt
-	}
 	b := c.bounds()
-	limit := (svc.ColdRate*b.ColdFactor + b.ColdSlack) / 2
-	return max(int(min(limit, math.Ceil(svc.ColdRate))), unknownPerSecond)
+	w := quota.Warmup{Factor: b.ColdFactor, Slack: b.ColdSlack}
+	if routes := c.routes(); routes != nil {
+		svc, _ := routes.Service(v.Server.Service)
+		w.Rate = svc.ColdRate
+	}
+	standing := c.duties.standing(v.Server.ID)
+	standing.Known, standing.Cold = known, cold
+	return v.SentInSecond >= quota.PerSecond(now, w, standing)
 }
 
 // Sent implements waiting.Fleet.
@@ -156,52 +140,3 @@
 func (c *candidates) ConnectionRefused(id string, at time.Time) {
 	c.world.fleet.Observe(id, fleet.Reading{At: at, Health: fleet.Unreachable, Misses: 1})
 }
-
-// duties knows which servers this VM measures. Siblings that see other VMs alive
-// may measure the same servers, which costs some probes.
-type duties struct {
-	mu   sync.RWMutex
-	mine map[string]bool
-}
-
-func (d *duties) measures(server string) bool {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.mine[server]
-}
-
-func (d *duties) set(mine map[string]bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.mine = mine
-}
-
-// assign returns the servers that self measures: for each server the VM with
-// the highest rendezvous hash among the live VMs of its failure domain, or of
-// its region where the failure domain has none.
-func assign(self fleet.VM, alive []fleet.VM, servers []fleet.Server, regionOf func(string) string) []fleet.Server {
-	alive = append(slices.Clone(alive), self)
-	byDomain := groupStrongest(alive, func(v fleet.VM) string { return v.FailureDomain })
-	byRegion := groupStrongest(alive, func(v fleet.VM) string { return v.Region })
-	var mine []fleet.Server
-	for _, s := range servers {
-		group := byDomain[s.FailureDomain]
-		if len(group) == 0 {
-			group = byRegion[regionOf(s.FailureDomain)]
-		}
-		if best, ok := vm.Preferred(group, s.ID); ok && string(best.ID) == self.ID {
-			mine = append(mine, s)
-		}
-	}
-	return mine
-}
-
-func groupStrongest(vms []fleet.VM, by func(fleet.VM) string) map[string][]vm.Info {
-	out := map[string][]vm.Info{}
-	for key, group := range lo.GroupBy(vms, by) {
-		for _, v := range fleet.Strongest(group) {
-			out[key] = append(out[key], vm.Info{ID: vm.ID(v.ID)})
-		}
-	}
-	return out
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -159,7 +159,7 @@
 		Self: e.self, Servers: e.world.fleet, Tables: e.world.tables(), Seen: seen, Client: e.client,
 		VMs: e.world.VMs, Changed: e.newsArrived, RegionOf: e.world.Region, Needed: e.world.needed, Logger: logger,
 	})
-	work := &duties{}
+	work := newDuties(time.Now())
 	fl := &candidates{world: e.world, duties: work, bounds: func() platform.Bounds { return e.node.Load().Bounds }, routes: e.world.routes.Load, poke: e.exchange.Poke, connected: e.pool.HasIdle}
 	e.room = waiting.NewRoom(fl, costs)
 	e.measurer = &measurer{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -10,6 +10,7 @@
 
 	"goldcresthinge.example/goldcresthinge/internal/backend"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/quota"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
 	"goldcresthinge.example/goldcresthinge/internal/waiting"
@@ -94,12 +95,12 @@
 }
 
 func newTestCandidates(w *world, mine ...string) *candidates {
-	d := &duties{}
-	set := map[string]bool{}
+	d := newDuties(after(-1000))
+	var list []duty
 	for _, id := range mine {
-		set[id] = true
+		list = append(list, duty{fleet.Server{ID: id}, quota.Group{Heard: 2, Registered: 2}})
 	}
-	d.set(set)
+	d.set(after(0), list, nil, func(fleet.Server) bool { return false })
 	return &candidates{
 		world: w, duties: d, routes: w.routes.Load, poke: func() {}, connected: func(string) bool { return true },
 		bounds: func() platform.Bounds { return platform.Bounds{ColdFactor: 1.5, ColdSlack: 5} },
@@ -158,6 +159,33 @@
 	}
 }
 
+// Guards against VMs that all send to a server that nobody has measured yet, and
+// against processes that send what their predecessors sent within the same second.
+func TestFewVMsSendToServersWithoutAReading(t *testing.T) {
+	server := fleet.Server{ID: "new", Service: "svc", FailureDomain: "a", Slots: 2, Address: "10.0.0.1:1"}
+	var vms []fleet.VM
+	for i := range 20 {
+		vms = append(vms, fleet.VM{ID: fmt.Sprint("vm-", i), FailureDomain: "a", Region: "r"})
+	}
+	vms = append(vms, fleet.VM{ID: "other", FailureDomain: "b", Region: "r"})
+	senders := 0
+	for _, self := range vms {
+		d := newDuties(after(0))
+		unknownSender := func(s fleet.Server) bool { return isUnknownSender(self, vms, s) }
+		d.set(after(900), nil, []fleet.Server{server}, unknownSender)
+		if d.standing("new").UnknownSender {
+			t.Errorf("%s sends within the first second of its process", self.ID)
+		}
+		d.set(after(1000), nil, []fleet.Server{server}, unknownSender)
+		if d.standing("new").UnknownSender {
+			senders++
+		}
+	}
+	if senders != quota.UnknownSenders {
+		t.Errorf("%d VMs send to a server without a reading", senders)
+	}
+}
+
 // Guards against servers that nobody measures, or that many VMs measure.
 func TestEachServerHasOneMeasurer(t *testing.T) {
 	vms := []fleet.VM{
@@ -173,12 +201,12 @@
 	counts := map[string]int{}
 	for i, self := range vms {
 		others := append(append([]fleet.VM{}, vms[:i]...), vms[i+1:]...)
-		mine := assign(self, others, servers, region)
+		mine := assign(self, vms, others, servers, region)
 		if self.ID == "3" && len(mine) > 0 {
 			t.Errorf("the weak VM measures %d servers", len(mine))
 		}
-		for _, s := range mine {
-			counts[s.ID]++
+		for _, m := range mine {
+			counts[m.server.ID]++
 		}
 	}
 	for _, s := range servers {
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -15,6 +15,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/cadence"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/news"
+	"goldcresthinge.example/goldcresthinge/internal/quota"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
 )
 
@@ -90,13 +91,20 @@
 }
 
 func (m *measurer) assign(now time.Time) {
-	alive := m.seen.Filter(m.world.VMs(), now)
-	mine := assign(m.world.self, alive, m.world.fleet.Servers(), m.world.Region)
-	set := make(map[string]bool, len(mine))
+	registered, servers := m.world.VMs(), m.world.fleet.Servers()
+	alive := m.seen.Filter(registered, now)
+	mine := assign(m.world.self, registered, alive, servers, m.world.Region)
+	m.duties.set(now, mine, servers, func(s fleet.Server) bool {
+		reading, _ := m.world.fleet.Reading(s.ID)
+		// Readings that are nearly too old count as well, until the next look.
+		return now.Sub(reading.At) > knownFor/2 && isUnknownSender(m.world.self, registered, s)
+	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.slowest = m.isolatedPause(alive)
-	for _, s := range mine {
+	m.slowest = m.isolatedPause(registered, alive)
+	set := make(map[string]bool, len(mine))
+	for _, d := range mine {
+		s := d.server
 		set[s.ID] = true
 		f, ok := m.followed[s.ID]
 		if !ok || f.server.Address != s.Address || f.server.Incarnation != s.Incarnation {
@@ -110,20 +118,21 @@
 			delete(m.followed, id)
 		}
 	}
-	m.duties.set(set)
 }
 
 // isolatedPause is the least pause between two measurements of a server while
 // this VM hears less than half of its failure domain: others may measure the same
 // servers, so that each VM takes an equal share of the limit.
-func (m *measurer) isolatedPause(alive []fleet.VM) time.Duration {
-	registered := len(vmsOf(m.world.VMs(), m.world.self.FailureDomain))
-	heard := len(vmsOf(alive, m.world.self.FailureDomain)) + 1
+func (m *measurer) isolatedPause(registered, alive []fleet.VM) time.Duration {
+	group := quota.Group{
+		Heard:      len(vmsOf(alive, m.world.self.FailureDomain)) + 1,
+		Registered: len(vmsOf(registered, m.world.self.FailureDomain)),
+	}
 	limit := m.probesPerSecond()
-	if 2*heard >= registered || limit <= 0 {
+	if group.Majority() || limit <= 0 {
 		return 0
 	}
-	return time.Duration(float64(registered) / limit * float64(time.Second))
+	return time.Duration(float64(group.Registered) / limit * float64(time.Second))
 }
 
 // startDue starts the measurements that are due and returns the time of the
--- a/internal/standin/loopback/loopback_test.go
+++ b/internal/standin/loopback/loopback_test.go
@@ -31,3 +31,19 @@
 	}
 	_ = l.Close()
 }
+
+// Guards against two listeners of one test process that were given the same
+// address, which happened with several deployments at once.
+func TestFreeAddressReturnsNoAddressTwice(t *testing.T) {
+	seen := map[string]bool{}
+	for range 600 {
+		address, err := loopback.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[address] {
+			t.Fatalf("%s was returned twice", address)
+		}
+		seen[address] = true
+	}
+}
--- a/internal/standin/netlink/netlink.go
+++ b/internal/standin/netlink/netlink.go
@@ -30,9 +30,8 @@
 // from any goroutine.
 type Link struct {
 	mu     sync.Mutex
-	change chan struct{} // closed when frozen ends
+	change chan struct{} // closed when a freeze ends
 	cut    bool
-	frozen bool
 	lanes  [2]lane
 	relays map[*Relay]struct{}
 	conns  map[*pair]struct{}
@@ -40,6 +39,7 @@
 
 // lane is the state of one direction. The link's lock guards it.
 type lane struct {
+	frozen         bool
 	delay          time.Duration
 	bytesPerSecond float64 // 0: no limit
 	free           time.Time
@@ -106,21 +106,47 @@
 	l.cut = false
 }
 
+// Reset resets all connections. New ones work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	conns := l.pairsLocked()
+	l.mu.Unlock()
+	for _, c := range conns {
+		c.reset()
+	}
+}
+
+// Silence drops all further bytes of the present connections without closing
+// them. New connections work.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.conns {
+		p.silent = true
+	}
+}
+
 // Freeze stops all bytes in both directions until Thaw, without closing
 // anything, as a network does that drops every packet. New connections are
 // accepted and stall.
 func (l *Link) Freeze() {
+	l.FreezeDirection(AToB)
+	l.FreezeDirection(BToA)
+}
+
+// FreezeDirection is Freeze for the bytes of one direction.
+func (l *Link) FreezeDirection(d Direction) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.frozen = true
+	l.lanes[d].frozen = true
 }
 
-// Thaw ends a freeze. Bytes sent meanwhile arrive.
+// Thaw ends a freeze of either kind. Bytes sent meanwhile arrive.
 func (l *Link) Thaw() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.frozen {
-		l.frozen = false
+	if l.lanes[AToB].frozen || l.lanes[BToA].frozen {
+		l.lanes[AToB].frozen, l.lanes[BToA].frozen = false, false
 		close(l.change)
 		l.change = make(chan struct{})
 	}
@@ -223,12 +249,12 @@
 	return l.lanes[AToB].delay + l.lanes[BToA].delay
 }
 
-// pass waits while the link is frozen, then counts and records data. It
-// returns false if the connection ends first.
+// pass waits while the direction is frozen or the connection silent, then counts
+// and records data. It returns false if the connection ends first.
 func (l *Link) pass(p *pair, d Direction, data []byte) bool {
 	for {
 		l.mu.Lock()
-		if !l.frozen {
+		if !l.lanes[d].frozen && !p.silent {
 			break
 		}
 		change := l.change
--- a/internal/standin/netlink/netlink_test.go
+++ b/internal/standin/netlink/netlink_test.go
@@ -123,6 +123,40 @@
 		Expect(in.ReadString('\n')).To(Equal("re:b\n"))
 	})
 
+	It("holds back one direction only", func() {
+		c, in := dial()
+		link.FreezeDirection(BToA)
+		before := link.Bytes(BToA)
+		fmt.Fprintf(c, "a\n")
+		Eventually(func() int64 { return link.Bytes(AToB) }).Should(BeNumerically(">", 0))
+		Consistently(func() int64 { return link.Bytes(BToA) }, "50ms").Should(Equal(before))
+		link.Thaw()
+		Expect(in.ReadString('\n')).To(Equal("re:a\n"))
+	})
+
+	It("silences present connections only", func() {
+		c, _ := dial()
+		fmt.Fprintf(c, "a\n")
+		Eventually(func() int64 { return link.Bytes(BToA) }).Should(BeNumerically(">", 0))
+		link.Silence()
+		before := link.Bytes(AToB)
+		fmt.Fprintf(c, "b\n")
+		Consistently(func() int64 { return link.Bytes(AToB) }, "50ms").Should(Equal(before))
+		other, in := dial()
+		fmt.Fprintf(other, "c\n")
+		Expect(in.ReadString('\n')).To(Equal("re:c\n"))
+	})
+
+	It("resets present connections only", func() {
+		_, in := dial()
+		link.Reset()
+		_, err := in.ReadString('\n')
+		Expect(err).To(HaveOccurred())
+		other, in := dial()
+		fmt.Fprintf(other, "c\n")
+		Expect(in.ReadString('\n')).To(Equal("re:c\n"))
+	})
+
 	It("keeps large streams whole under a bandwidth limit", func() {
 		link.SetBandwidth(AToB, 50e6)
 		c, in := dial()
--- a/internal/standin/netlink/relay.go
+++ b/internal/standin/netlink/relay.go
@@ -85,6 +85,8 @@
 	mu    sync.Mutex
 	far   *net.TCPConn
 	ended bool
+
+	silent bool // guarded by the link's lock
 }
 
 // reset ends both sides with a TCP reset.
