Soak: faults of all servers at once

Cause: with single failing servers, requests turned to others, so that the checks of attempts and retries had little to check. Change: each run has one time in which all servers fail in part, drawn from a stream of its own so that former seeds keep their events.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -126,23 +126,33 @@
 	})
 }
 
-// onServer makes a server fail.
-func onServer(draw func(rng *rand.Rand) platformtest.ServerFaults) func(*world, *rand.Rand, time.Duration) error {
+// onServers makes one server fail, or all of them.
+func onServers(all bool, draw func(rng *rand.Rand) platformtest.ServerFaults) func(*world, *rand.Rand, time.Duration) error {
 	return fault(func(w *world, rng *rand.Rand, lasting time.Duration) error {
-		s := w.sites[rng.IntN(len(w.sites))]
-		s.mu.Lock()
-		server := s.server
-		s.mu.Unlock()
-		server.SetFaults(draw(rng))
+		sites := []*site{w.sites[rng.IntN(len(w.sites))]}
+		if all {
+			sites = w.sites
+		}
+		faults := draw(rng)
+		var servers []*platformtest.Server
+		for _, s := range sites {
+			s.mu.Lock()
+			servers = append(servers, s.server)
+			s.mu.Unlock()
+		}
+		for _, s := range servers {
+			s.SetFaults(faults)
+		}
 		time.Sleep(lasting)
-		server.SetFaults(platformtest.ServerFaults{})
+		for _, s := range servers {
+			s.SetFaults(platformtest.ServerFaults{})
+		}
 		return nil
 	})
 }
 
-// serverFaults come in every run, since each of them is met by few requests:
-// other servers get the work soon.
-var serverFaults = []action{{"server fails in part", onServer(func(rng *rand.Rand) platformtest.ServerFaults {
+// drawServerFaults returns one kind of fault of a server.
+func drawServerFaults(rng *rand.Rand) platformtest.ServerFaults {
 	x := 0.2 + 0.8*rng.Float64()
 	kinds := []platformtest.ServerFaults{
 		{LostAnswer: x},
@@ -156,7 +166,14 @@
 		{FalseCheck: true},
 	}
 	return kinds[rng.IntN(len(kinds))]
-})}}
+}
+
+// serverFaults come in every run, since each of them is met by few requests:
+// other servers get the work soon.
+var serverFaults = []action{{"server fails in part", onServers(false, drawServerFaults)}}
+
+// serviceFaults leave no other server to turn to, so that retries add up.
+var serviceFaults = []action{{"all servers fail in part", onServers(true, drawServerFaults)}}
 
 var unplanned = []action{
 	{"kill VM", onVMs(func(v *vm) { v.signal(syscall.SIGKILL) }, nothing)},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,6 +38,10 @@
 	startTimeout = 60 * time.Second
 )
 
+// serviceFaultStream makes the draws of service faults independent of the others,
+// whose seeds have failed before and keep their events.
+const serviceFaultStream = 1
+
 // fixedSeeds are played in CI: one run, and each seed that ever failed with its
 // cause.
 var fixedSeeds = []uint64{
@@ -93,6 +97,7 @@
 	w.play(slices.Concat(
 		draw(rng, unplanned, 10+rng.IntN(8), unplannedPhase, longestFault),
 		draw(rng, serverFaults, 8, unplannedPhase, longestFault),
+		draw(rand.New(rand.NewPCG(seed, serviceFaultStream)), serviceFaults, 1, unplannedPhase, longestFault), //nolint:gosec // no secret
 		draw(rng, planned, 4, unplannedPhase, longestFault),
 	), t.Logf)
 	if err := w.heal(); err != nil {
