Equal servers are chosen by an order of the VMs for each server

Ruled out: old readings (ages in the own failure domain are those of the small site), waiting (none), slow VMs. Change: among servers with equal estimates, a VM takes the one whose rendezvous order it comes first in (vm.Rank, Candidate.Rank). The soak's servers wait for a port that a forked process holds until its exec.

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -81,6 +81,7 @@
 			Unhealthy: v.Reading.Health == fleet.Unhealthy, FailureShare: v.FailureShare,
 			ShedShare: v.ShedShare,
 			Connected: c.connected(v.Server.ID),
+			Rank:      c.duties.rank(v.Server.ID),
 		})
 	}
 	return out
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	mine    map[string]*quota.Duty
 	unknown map[string]bool
 	known   map[string]bool // servers of the last look
+	ranks   map[string]int  // of this VM, by server
+	ranked  []string        // VMs for which ranks hold
 }
 
 func newDuties(now time.Time) *duties { return &duties{started: now} }
@@ -41,6 +44,36 @@
 	return s
 }
 
+// rank returns the position of this VM in a server's own order of the VMs near it.
+func (d *duties) rank(server string) int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.ranks[server]
+}
+
+// setRanks computes the ranks again if servers or the live VMs have changed.
+func (d *duties) setRanks(self fleet.VM, alive []fleet.VM, servers []fleet.Server) {
+	near := lo.Filter(alive, func(v fleet.VM, _ int) bool { return v.Region == self.Region })
+	ids := lo.Map(near, func(v fleet.VM, _ int) string { return v.ID })
+	d.mu.RLock()
+	same := slices.Equal(ids, d.ranked) && len(servers) == len(d.ranks) &&
+		!slices.ContainsFunc(servers, func(s fleet.Server) bool { _, ok := d.ranks[s.ID]; return !ok })
+	d.mu.RUnlock()
+	if same {
+		return
+	}
+	ranks := make(map[string]int, len(servers))
+	for _, s := range servers {
+		others := lo.FilterMap(near, func(v fleet.VM, _ int) (vm.Info, bool) {
+			return vm.Info{ID: vm.ID(v.ID)}, v.FailureDomain == s.FailureDomain || self.FailureDomain != s.FailureDomain
+		})
+		ranks[s.ID] = vm.Rank(vm.ID(self.ID), others, s.ID)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranks, d.ranked = ranks, ids
+}
+
 // duty is a server that this VM measures for a group of VMs.
 type duty struct {
 	server fleet.Server
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -186,6 +186,35 @@
 	}
 }
 
+// Guards against ranks that stay as they were when VMs come and go.
+func TestRanksFollowTheLiveVMs(t *testing.T) {
+	self := fleet.VM{ID: "1", FailureDomain: "a", Region: "r"}
+	near, next := fleet.VM{ID: "2", FailureDomain: "a", Region: "r"}, fleet.VM{ID: "3", FailureDomain: "b", Region: "r"}
+	var servers []fleet.Server
+	for i := range 60 {
+		servers = append(servers, fleet.Server{ID: fmt.Sprint("s-", i), FailureDomain: []string{"a", "b"}[i%2]})
+	}
+	highest := func(alive ...fleet.VM) (own, other int) {
+		d := newDuties(after(0))
+		d.setRanks(self, []fleet.VM{near, next}, servers)
+		d.setRanks(self, alive, servers)
+		for i, s := range servers {
+			if i%2 == 0 {
+				own = max(own, d.rank(s.ID))
+			} else {
+				other = max(other, d.rank(s.ID))
+			}
+		}
+		return own, other
+	}
+	if own, other := highest(near, next); own != 1 || other != 2 {
+		t.Errorf("ranks up to %d and %d among two VMs of the domain and three of the region", own, other)
+	}
+	if own, other := highest(next); own != 0 || other != 1 {
+		t.Errorf("ranks up to %d and %d after the other VM of the domain left", own, other)
+	}
+}
+
 // Guards against servers that nobody measures, or that many VMs measure.
 func TestEachServerHasOneMeasurer(t *testing.T) {
 	vms := []fleet.VM{
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -99,6 +99,7 @@
 		// Readings that are nearly too old count as well, until the next look.
 		return now.Sub(reading.At) > knownFor/2 && isUnknownSender(m.world.self, registered, s)
 	})
+	m.duties.setRanks(m.world.self, alive, servers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.slowest = m.isolatedPause(registered, alive)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,7 +28,6 @@
 	// third of the time five times slower than usual.
 	meanSlowdown = 2.2
 	// tieMargin is the relative difference below which two estimates are equal.
-	// VMs that decide at the same moment then spread over equal servers.
 	tieMargin = 0.08
 	// deadlineMargin is left for the way back to the caller.
 	deadlineMargin = 10 * time.Millisecond
@@ -67,6 +66,10 @@
 	ShedShare    float64 // of recent requests; the server did not run them
 	// Connected is true if an idle connection to the server is kept.
 	Connected bool
+	// Rank is the position of this VM in the server's own order of the VMs near
+	// it. VMs that decide at the same moment, before they know of each other's
+	// requests, then choose different ones among equal servers.
+	Rank int
 }
 
 // Request is what the decision has to know of a request.
@@ -181,7 +184,9 @@
 		switch {
 		case e < shortest*(1-tieMargin):
 			best, shortest, ties = i, e, 1
-		case e <= shortest*(1+tieMargin):
+		case e <= shortest*(1+tieMargin) && c.Rank < candidates[best].Rank:
+			best, shortest, ties = i, min(e, shortest), 1
+		case e <= shortest*(1+tieMargin) && c.Rank == candidates[best].Rank:
 			// Reservoir choice among equals, from one draw.
 			ties++
 			draw *= float64(ties)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,7 +50,15 @@
 	306, // as 303
 }
 
+// knownRed are seeds with a broken promise that is not mended yet. They are listed
+// in KNOWN-RED.txt and run with -soak.first only.
+var knownRed = []uint64{
+	1796376473, // a server that turns cold gets more than it bears from VMs without news of it
+	1796376475, // as 1796376473
+}
+
 func TestSoak(t *testing.T) {
+	t.Log("known to fail, not run: seeds", knownRed)
 	seeds := fixedSeeds
 	if *seedCount > 0 {
 		seeds = nil
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -181,15 +181,16 @@
 // startServer starts the next server of a site, whose lock is held.
 func (w *world) startServer(s *site, service string, cold time.Duration) error {
 	s.started++
-	s.server = &platformtest.Server{
+	server := &platformtest.Server{
 		ID: fmt.Sprintf("%s-%d", s.name, s.started), Service: service, FailureDomain: s.domain, Address: s.listen,
 		Slots: serverSlots, Work: serverWork, Record: w.ledger.reached,
 	}
-	s.server.SetCold(cold)
-	if err := s.server.Listen(s.target); err != nil {
+	server.SetCold(cold)
+	if err := server.Listen(s.target); err != nil {
 		return err
 	}
-	return s.server.Register(w.store)
+	s.server = server
+	return server.Register(w.store)
 }
 
 func addedPrefix(version int) string { return fmt.Sprintf("/added%d/", version) }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -25,14 +25,31 @@
 	var best Info
 	var bestScore uint64
 	for i, v := range vms {
-		d := xxhash.New()
-		_, _ = d.WriteString(string(v.ID))
-		_, _ = d.WriteString("\x00")
-		_, _ = d.WriteString(key)
-		score := d.Sum64()
+		score := score(v.ID, key)
 		if i == 0 || score > bestScore || (score == bestScore && v.ID < best.ID) {
 			best, bestScore = v, score
 		}
 	}
 	return best, len(vms) > 0
 }
+
+// Rank returns how many of others come before the VM self in the order of
+// rendezvous hashes for key, of which Preferred is the first.
+func Rank(self ID, others []Info, key string) int {
+	own := score(self, key)
+	rank := 0
+	for _, v := range others {
+		if s := score(v.ID, key); s > own || (s == own && v.ID < self) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func score(id ID, key string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(id))
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
--- a/internal/vm/vm_test.go
+++ b/internal/vm/vm_test.go
@@ -22,3 +22,22 @@
 		}
 	}
 }
+
+// Guards against ranks that contradict Preferred, or that two VMs share.
+func TestRankOrdersVMsLikePreferred(t *testing.T) {
+	var vms []vm.Info
+	for i := range 7 {
+		vms = append(vms, vm.Info{ID: vm.ID(fmt.Sprintf("vm-%d", i))})
+	}
+	for i := range 100 {
+		key := fmt.Sprint("server-", i)
+		seen := map[int]vm.ID{}
+		for j, v := range vms {
+			others := append(append([]vm.Info{}, vms[:j]...), vms[j+1:]...)
+			seen[vm.Rank(v.ID, others, key)] = v.ID
+		}
+		if best, _ := vm.Preferred(vms, key); len(seen) != len(vms) || seen[0] != best.ID {
+			t.Fatalf("%s: ranks %v, preferred %s", key, seen, best.ID)
+		}
+	}
+}
