--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -12,10 +12,6 @@
 	"goldcresthinge.example/goldcresthinge/internal/vm"
 )
 
-// settledAfter is the age from which a process knows what it sent within the last
-// second, its predecessor's requests included.
-const settledAfter = time.Second
-
 // duties knows which servers this VM measures, and to which it may send without a
 // reading. Siblings that see other VMs alive may measure the same servers, which
 // costs some probes.
@@ -83,7 +79,8 @@
 // set replaces the duties. all are the servers that this VM knows, and
 // unknownSender tells for which of them this VM may send without a reading.
 func (d *duties) set(now time.Time, mine []duty, all []fleet.Server, unknownSender func(server fleet.Server) bool) {
-	settled := now.Sub(d.started) >= settledAfter
+	// What an earlier process of this VM sent counts no more.
+	settled := now.Sub(d.started) >= quota.SettleTime
 	known := make(map[string]bool, len(all))
 	unknown := map[string]bool{}
 	for _, s := range all {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -34,15 +34,16 @@
 	unknownPerSecond = 1
 )
 
-// settleTime is the span over which limits of cold servers count.
-const settleTime = time.Second
+// SettleTime is the span over which limits of cold servers count, and after which
+// what others sent before counts no more.
+const SettleTime = time.Second
 
 // Duty is a VM's duty to measure a server. Its zero value is not valid.
 type Duty struct {
 	since   time.Time
 	settled bool // no other VM had the duty before
 	part    float64
-	// former is the least part within settleTime before the part grew at grown.
+	// former is the least part within SettleTime before the part grew at grown.
 	former float64
 	grown  time.Time
 }
@@ -57,7 +58,7 @@
 func (d *Duty) Update(now time.Time, g Group) {
 	part := g.Part()
 	if part > d.part {
-		if now.Sub(d.grown) >= settleTime {
+		if now.Sub(d.grown) >= SettleTime {
 			d.former = d.part
 		}
 		d.former = min(d.former, d.part)
@@ -71,9 +72,9 @@
 // second ago.
 func (d *Duty) Part(now time.Time) float64 {
 	switch {
-	case d == nil, !d.settled && now.Sub(d.since) < settleTime:
+	case d == nil, !d.settled && now.Sub(d.since) < SettleTime:
 		return 0
-	case now.Sub(d.grown) < settleTime:
+	case now.Sub(d.grown) < SettleTime:
 		return min(d.part, d.former)
 	default:
 		return d.part
