--- a/internal/standin/netlink/netlink_test.go
+++ b/internal/standin/netlink/netlink_test.go
@@ -148,7 +148,10 @@
 	})
 
 	It("resets present connections only", func() {
-		_, in := dial()
+		// A connection counts as present once the relay has accepted it.
+		c, in := dial()
+		fmt.Fprintf(c, "a\n")
+		Expect(in.ReadString('\n')).To(Equal("re:a\n"))
 		link.Reset()
 		_, err := in.ReadString('\n')
 		Expect(err).To(HaveOccurred())
