--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -307,7 +307,6 @@
 
 // stop stops a VM as the platform does. Its process is started again.
 func (w *world) stop(v *vm) error {
-	defer w.ledger.beginStop(v.id)()
 	from := time.Now()
 	if !v.terminate() {
 		w.ledger.mu.Lock()
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -67,12 +67,11 @@
 	linkFault map[string][]*span // by server: its link was disturbed
 	absences  []*absence
 	changes   []change
-	planned   map[string][]*span // by VM: stops
 	broken    []string
 }
 
 func newLedger() *ledger {
-	return &ledger{requests: map[string]*request{}, linkFault: map[string][]*span{}, planned: map[string][]*span{}}
+	return &ledger{requests: map[string]*request{}, linkFault: map[string][]*span{}}
 }
 
 // fail records a broken promise.
@@ -122,6 +121,7 @@
 	return l.ender(s)
 }
 
+// beginLink records that the link to a server is disturbed.
 func (l *ledger) beginLink(server string) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,14 +130,8 @@
 	return l.ender(s)
 }
 
-func (l *ledger) beginStop(vm string) (end func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := &span{from: time.Now()}
-	l.planned[vm] = append(l.planned[vm], s)
-	return l.ender(s)
-}
-
+// beginAbsence records that a server or failure domain must get no requests
+// after within.
 func (l *ledger) beginAbsence(a absence, within time.Duration) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -21,7 +21,7 @@
 	serviceOne = "one"
 	serviceTwo = "two"
 
-	coldPerSecond = 10
+	coldPerSecond = 10 // requests/s that a cold server bears
 	coldFor       = 3 * time.Second
 	serverWork    = 15 * time.Millisecond
 	serverSlots   = 2
