--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -33,7 +33,9 @@
 	heartbeat    = 1500 * time.Millisecond
 	readyTimeout = 20 * time.Second
 	graceSeconds = 6
-	killTimeout  = 3 * time.Second
+	// garbleFor is how long servers hand out wrong bytes; the longest time at the site is 5.5 s.
+	garbleFor   = 5 * time.Second
+	killTimeout = 3 * time.Second
 )
 
 // world is a small deployment: the store, the processes of the load balancer and the backend
