front: a server that answers early gets the rest of the body unchanged

Callers got the answer late.

Cause: net/http discards the rest of a request body when the header of the answer is written, while the goroutine that sends the request to the server still reads it. Each of the two got a part.

Change: full duplex for streamed bodies; after an early answer the handler goes on sending the body until the server has it, and discards what the server does not take. Reading ends before the handler returns, since net/http uses the buffer of an aborted connection for another one. A connection on which the rest of a body may follow is closed. Connections to servers that answered early are not used again.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -87,6 +87,9 @@
 	Length int64 // length of Body in bytes; -1: unknown
 	Body   io.ReadCloser
 	Info   ResponseInfo
+	// RequestDone is closed once the body of the request is no longer read: it has been
+	// sent completely, or sending it has failed. A server may respond before.
+	RequestDone <-chan struct{}
 }
 
 // ExchangeError describes why no response is available.
@@ -123,7 +126,7 @@
 		p.put(c, "")
 		return nil, &ExchangeError{Err: err}
 	}
-	ex := &exchange{pool: p, conn: c, proto: proto, id: req.ID, method: req.Method}
+	ex := &exchange{pool: p, conn: c, proto: proto, id: req.ID, method: req.Method, requestDone: make(chan struct{})}
 	ex.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	resp, err := ex.run(out, req)
 	if err != nil {
@@ -196,16 +199,20 @@
 	informationalResponses int
 	written                atomic.Bool // the complete request has been written
 	writeErr               atomic.Pointer[error]
+	requestDone            chan struct{} // see Response.RequestDone
 }
 
 func (ex *exchange) run(out *http.Request, req *Request) (*Response, error) {
 	ex.conn.headerBytesLeft = ex.pool.maxHeaderBytes
 	if req.Body == nil || (req.Length >= 0 && req.Length <= maxInlineBody) {
-		if err := ex.write(out); err != nil && !ex.hasPendingResponse() {
+		err := ex.write(out)
+		close(ex.requestDone)
+		if err != nil && !ex.hasPendingResponse() {
 			return nil, fmt.Errorf("write request: %w", err)
 		}
 	} else {
 		go func() {
+			defer close(ex.requestDone)
 			// A panic outside the goroutine of the request would end the process.
 			var p *recovery.PanicError
 			if err := recovery.Run(func() error { return ex.write(out) }); errors.As(err, &p) {
@@ -290,13 +297,16 @@
 	if info.RequestID != ex.id && (info.RequestID != "" || !info.NotRun) {
 		return nil, ex.skipResponse(resp)
 	}
-	reusable := !resp.Close && ex.skippedResponses == 0
+	// A server that responds before it has received the request may read the rest of it
+	// as another request.
+	reusable := !resp.Close && ex.skippedResponses == 0 && ex.written.Load()
 	header := resp.Header
 	keepAlive := header.Get("Keep-Alive")
 	call.RemoveHopByHop(header)
 	return &Response{
 		Status: resp.StatusCode, Header: header, Length: resp.ContentLength, Info: info,
-		Body: &exchangeBody{ReadCloser: resp.Body, ex: ex, reusable: reusable, keepAlive: keepAlive},
+		Body:        &exchangeBody{ReadCloser: resp.Body, ex: ex, reusable: reusable, keepAlive: keepAlive},
+		RequestDone: ex.requestDone,
 	}, nil
 }
 
@@ -341,8 +351,8 @@
 }
 
 // Close implements io.Closer. The connection is kept only if the complete
-// request was written, the complete response was read, and no further bytes
-// follow it.
+// request was written before the response began, the complete response was read,
+// and no further bytes follow it.
 func (b *exchangeBody) Close() error {
 	if b.closed {
 		return nil
@@ -352,7 +362,7 @@
 	// of the connection is then set to the past, which makes it unusable.
 	contextActive := b.ex.stopWatchingContext()
 	c := b.ex.conn
-	if contextActive && b.complete && b.reusable && b.ex.written.Load() && c.r.Buffered() == 0 {
+	if contextActive && b.complete && b.reusable && c.r.Buffered() == 0 {
 		b.ex.pool.put(c, b.keepAlive)
 		return nil
 	}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"goldcresthinge.example/goldcresthinge/internal/backend"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 )
@@ -60,6 +62,10 @@
 	case q.bodyRest != nil:
 		out.Body, out.Length = io.MultiReader(bytes.NewReader(q.body), q.bodyRest), q.r.ContentLength
 		q.streamed = true
+		// By default, net/http reads and discards the rest of the body when the header of the
+		// answer is written: the server would get what it leaves. The error says that the
+		// connection never does so.
+		_ = http.NewResponseController(q.w).EnableFullDuplex()
 	case len(q.body) > 0:
 		out.Body, out.Length = bytes.NewReader(q.body), int64(len(q.body))
 	}
@@ -226,9 +232,39 @@
 		// response for a complete one.
 		panic(http.ErrAbortHandler)
 	}
+	if q.streamed {
+		q.finishBody(ctx, server, resp)
+	}
 	return true
 }
 
+// finishBody goes on sending the body of the request to a server that has answered before
+// its end. What the server does not take is discarded. If the body does not end, finishBody
+// panics with http.ErrAbortHandler, which closes the connection, since what follows on it is not
+// another request.
+func (q *request) finishBody(ctx context.Context, server fleet.Server, resp *backend.Response) {
+	select {
+	case <-resp.RequestDone:
+		if q.bodyRest.ended.Load() {
+			return
+		}
+	default:
+	}
+	_ = level.Info(q.h.cfg.Logger).Log("msg", "server answered before the end of the request body", "request", q.id,
+		"server", server.ID, "status", resp.Status)
+	if err := http.NewResponseController(q.w).Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-resp.RequestDone:
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.Copy(io.Discard, q.bodyRest); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // brokenBodyResult returns the result for a server whose response body did not end before
 // the context or the connection did. At the deadline, a body of declared length may be late
 // because the caller reads slowly; one without a length may never end.
--- a/internal/front/finish.go
+++ b/internal/front/finish.go
@@ -56,8 +56,16 @@
 		q.h.cfg.HeaderCodec.SetRetryAfter(q.w.Header(), retryAfter)
 	}
 	q.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	bodyUnread := q.streamed && !q.bodyRest.ended.Load()
+	if bodyUnread {
+		// What follows on the connection is the rest of the body.
+		q.w.Header().Set("Connection", "close")
+	}
 	q.w.WriteHeader(status)
 	_, err := io.WriteString(q.w, reason+"\n")
+	if bodyUnread && err == nil {
+		err = http.NewResponseController(q.w).Flush()
+	}
 	q.logEnd("ended", status, reason, err)
 	q.h.cfg.Metrics.recordUnanswered(reason)
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -113,7 +113,7 @@
 	body     []byte      // the whole body, or its first maxBufferedBody bytes if bodyRest is set
 	bodyRest *callerBody // the rest of a longer body; nil if there is none
 	reserved int64       // bytes taken from Handler.buffers
-	streamed bool        // bodyRest was given to a server, so the request cannot be sent again
+	streamed bool        // bodyRest was given to a server, so the request cannot be sent again; set by streamBody
 
 	server      string // ID of the server that has the request at present; empty if none
 	attempts    int    // number of times the request may have arrived at a server
@@ -133,6 +133,7 @@
 	q := &request{h: h, w: w, r: r, arrived: arrived}
 	defer func() { h.buffers.release(q.reserved) }()
 	defer q.recoverPanic()
+	defer func() { q.bodyRest.stop(http.NewResponseController(w)) }()
 	if status, reason := q.prepare(); status != 0 {
 		q.finish(status, reason, 0)
 		return
--- a/internal/front/upload_test.go
+++ b/internal/front/upload_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,13 +49,39 @@
 type deadlineRecorder struct {
 	*httptest.ResponseRecorder
 	deadlines []time.Time
+	// onDeadline, if set, is called for each deadline but the first, which is that of the
+	// request.
+	onDeadline func()
 }
 
 func (w *deadlineRecorder) SetReadDeadline(t time.Time) error {
 	w.deadlines = append(w.deadlines, t)
+	if w.onDeadline != nil && len(w.deadlines) > 1 {
+		w.onDeadline()
+	}
 	return nil
 }
 
+// blockedBody is a request body whose Read blocks at its end until release is called.
+type blockedBody struct {
+	io.Reader
+	reads   atomic.Int32 // in progress
+	once    sync.Once
+	unblock chan struct{}
+}
+
+func (b *blockedBody) release() { b.once.Do(func() { close(b.unblock) }) }
+
+func (b *blockedBody) Read(p []byte) (int, error) {
+	b.reads.Add(1)
+	defer b.reads.Add(-1)
+	if n, err := b.Reader.Read(p); err == nil {
+		return n, nil
+	}
+	<-b.unblock
+	return 0, os.ErrDeadlineExceeded
+}
+
 func uploadHead(header string) string {
 	return "POST /short/a HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r-1\r\nTimeout-Ms: 2000\r\n" + header + "\r\n\r\n"
 }
@@ -117,6 +146,112 @@
 		Expect(backends.lastResults()).To(Equal([]fleet.Result{fleet.Failed}))
 	})
 
+	// Guards against a server that answers early and gets other bytes in the place of the rest
+	// of the body, because net/http reads and discards a part of it, and against an answer that
+	// waits for the rest.
+	DescribeTable("passes the rest of the body on unchanged after the server has answered",
+		func(chunked, waitForAnswer bool) {
+			const early, answerBytes = maxBufferedBody + 16<<10, 8 << 10
+			got := make(chan []byte, 1)
+			addRaw(func(conn net.Conn, body io.Reader) {
+				data := make([]byte, early)
+				_, _ = io.ReadFull(body, data)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: r-1\r\nProof: p\r\nContent-Length: %d\r\n\r\n%s", answerBytes, strings.Repeat("y", answerBytes))
+				rest, err := io.ReadAll(body)
+				if err != nil {
+					rest = append(rest, []byte(err.Error())...)
+				}
+				got <- append(data, rest...)
+			})
+			sent := make([]byte, 4*maxBufferedBody)
+			for i := range sent {
+				sent[i] = byte(i / 1000) // differs between pieces
+			}
+			conn, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			framing := fmt.Sprint("Content-Length: ", len(sent))
+			if chunked {
+				framing = "Transfer-Encoding: chunked"
+			}
+			answered := make(chan struct{})
+			go func() {
+				_, _ = io.WriteString(conn, strings.Replace(uploadHead(framing), "/short/", "/not-idempotent/", 1))
+				const piece = 4 << 10
+				for from := 0; from < len(sent); from += piece {
+					if waitForAnswer && from == early {
+						<-answered
+					}
+					if chunked {
+						_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", piece, sent[from:from+piece])
+					} else {
+						_, _ = conn.Write(sent[from : from+piece])
+					}
+				}
+				if chunked {
+					_, _ = io.WriteString(conn, "0\r\n\r\n")
+				}
+			}()
+			r := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(r, nil)
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			Expect(body).To(HaveLen(answerBytes))
+			close(answered)
+			var atServer []byte
+			Eventually(got, time.Minute).Should(Receive(&atServer))
+			Expect(bytes.Equal(atServer, sent)).To(BeTrue(), "the server got %d bytes of %d, or other ones", len(atServer), len(sent))
+
+			// The connection is still in order.
+			_, _ = io.WriteString(conn, "GET /other/ HTTP/1.1\r\nHost: 127.0.0.1\r\nTimeout-Ms: 2000\r\n\r\n")
+			resp, err = http.ReadResponse(r, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(http.StatusNotFound))
+		},
+		Entry("declared length, caller reads the answer first", false, true),
+		Entry("declared length, caller goes on sending", false, false),
+		Entry("chunks, caller reads the answer first", true, true),
+		Entry("chunks, caller goes on sending", true, false),
+	)
+
+	// Guards against a server that gets other bytes in the place of the rest of the body while
+	// the caller is told that it refused the request early.
+	It("sends a server that refuses it early nothing but a part of the body", func() {
+		got := make(chan []byte, 1)
+		addRaw(func(conn net.Conn, body io.Reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nId: r-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			data, _ := io.ReadAll(body)
+			got <- data
+		})
+		sent := make([]byte, 4*maxBufferedBody)
+		for i := range sent {
+			sent[i] = byte(i / 1000)
+		}
+		Expect(callRaw(address, uploadHead(fmt.Sprint("Content-Length: ", len(sent)))+string(sent), true)).To(Equal(http.StatusServiceUnavailable))
+		var atServer []byte
+		Eventually(got, time.Minute).Should(Receive(&atServer))
+		Expect(bytes.HasPrefix(sent, atServer)).To(BeTrue())
+	})
+
+	// Guards against a body that is still read for a server after its request has ended:
+	// net/http then uses the buffer of the connection for another one.
+	It("is not read after its request has ended", func() {
+		addRaw(func(_ net.Conn, body io.Reader) { _, _ = io.CopyN(io.Discard, body, 1) })
+		body := &blockedBody{Reader: strings.NewReader(strings.Repeat("x", uploadBytes)), unblock: make(chan struct{})}
+		w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder(), onDeadline: body.release}
+		r := httptest.NewRequest(http.MethodPost, "/not-idempotent/a", body)
+		r.Host, r.ContentLength = "127.0.0.1", 2*uploadBytes
+		r.Header.Set("Timeout-Ms", "60000")
+		newHandler(backends, &atomic.Pointer[routing.Table]{}).ServeHTTP(w, r)
+		Expect(w.Code).To(Equal(http.StatusBadGateway))
+		Expect(w.Header().Get("Connection")).To(Equal("close"))
+		Expect(body.reads.Load()).To(BeZero(), "a read of the body is in progress")
+	})
+
 	// Guards against an upload that runs twice, or is refused as not run, after its server is
 	// lost in the middle.
 	It("is not repeated if the server is lost in the middle", func() {
