front: a body over the limit no longer changes the header of an answer

What could be seen: "fatal error: concurrent map writes", which ends the process, when a chunked body exceeds max_body_bytes while its server answers.

Cause: http.MaxBytesReader sets Connection: close in the header of the answer; for a streamed body it runs in the goroutine that sends the request, beside the handler's goroutine.

Change: the reader gets no ResponseWriter; the handler closes the connection itself after 413, as it does for other unread bodies.

--- a/internal/front/finish.go
+++ b/internal/front/finish.go
@@ -57,7 +57,7 @@
 	}
 	q.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	bodyUnread := q.streamed && !q.bodyRest.ended.Load()
-	if bodyUnread {
+	if bodyUnread || status == http.StatusRequestEntityTooLarge {
 		// What follows on the connection is the rest of the body.
 		q.w.Header().Set("Connection", "close")
 	}
--- a/internal/front/prepare.go
+++ b/internal/front/prepare.go
@@ -84,7 +84,8 @@
 	}
 	body := io.Reader(q.r.Body)
 	if limit > 0 {
-		body = http.MaxBytesReader(q.w, q.r.Body, limit)
+		// Without the ResponseWriter, which the goroutine that sends the body must not use.
+		body = http.MaxBytesReader(nil, q.r.Body, limit)
 	}
 	// A caller may stop sending. Without a deadline, the request would be kept for as
 	// long as the connection is open.
--- a/internal/front/upload_test.go
+++ b/internal/front/upload_test.go
@@ -237,6 +237,24 @@
 		Expect(bytes.HasPrefix(sent, atServer)).To(BeTrue())
 	})
 
+	// Guards against a process that ends because a body exceeds the limit while the server's
+	// answer is passed on: both changed the header of the answer. Only the race detector, or a
+	// crash, shows it.
+	It("that is too long does not touch the answer of a server that has answered early", func() {
+		const limit, piece = 1 << 20, 16 << 10
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", piece, strings.Repeat("x", piece))
+		raw := strings.Replace(uploadHead("Transfer-Encoding: chunked"), "/short/", "/not-idempotent/", 1) + strings.Repeat(chunk, 1+limit/piece)
+		for i := range 20 {
+			backends.list = nil
+			addRaw(func(conn net.Conn, body io.Reader) {
+				_, _ = io.CopyN(io.Discard, body, int64(limit-i*piece/4))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r-1\r\nProof: p\r\nContent-Length: 2\r\n\r\nok")
+				_, _ = io.Copy(io.Discard, body)
+			})
+			Expect(callRaw(address, raw, true)).To(Or(Equal(http.StatusOK), Equal(http.StatusBadRequest)))
+		}
+	})
+
 	// Guards against a body that is still read for a server after its request has ended:
 	// net/http then uses the buffer of the connection for another one.
 	It("is not read after its request has ended", func() {
