front: an answer sent after the start of a planned stop closes its connection

Cause: Connection: close was set when a request arrived, so a request that arrived before SIGTERM and was answered after it left its connection open, and the caller used it once more.

Change: the header is set when the header of the answer is written, for answers of servers and of the VM itself.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -214,7 +214,7 @@
 	if complete && q.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(buf.Len()))
 	}
-	q.w.WriteHeader(resp.Status)
+	q.writeHeader(resp.Status)
 	_, err = q.w.Write(buf.Bytes())
 	if !complete {
 		if err == nil {
--- a/internal/front/finish.go
+++ b/internal/front/finish.go
@@ -61,7 +61,7 @@
 		// What follows on the connection is the rest of the body.
 		q.w.Header().Set("Connection", "close")
 	}
-	q.w.WriteHeader(status)
+	q.writeHeader(status)
 	_, err := io.WriteString(q.w, reason+"\n")
 	if bodyUnread && err == nil {
 		err = http.NewResponseController(q.w).Flush()
@@ -70,6 +70,15 @@
 	q.h.cfg.Metrics.recordUnanswered(reason)
 }
 
+// writeHeader writes the header of the answer. Only now is it known whether a planned stop has
+// begun, after which the caller must not use the connection again.
+func (q *request) writeHeader(status int) {
+	if q.h.cfg.DisableKeepAlives() {
+		q.w.Header().Set("Connection", "close")
+	}
+	q.w.WriteHeader(status)
+}
+
 func (q *request) logFailedAttempt(server fleet.Server, sent time.Time, outcome string, err error) {
 	g := q.grant
 	_ = level.Info(q.h.cfg.Logger).Log("msg", "attempt failed", "request", q.id, "server", server.ID,
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -73,7 +73,7 @@
 	RetryBudget       *retry.WindowBudget
 	RetryLimits       func() retry.WindowLimits
 	VMCount           func() int  // number of VMs that share the retry budget
-	DisableKeepAlives func() bool // whether connections close after the response in progress
+	DisableKeepAlives func() bool // whether connections close after the answers that are sent from now on
 	// MaxBufferedBytes limits the bytes of bodies that are kept in memory for all
 	// requests together. Beyond it, requests with a body are refused, and responses are
 	// passed on without a copy that would allow a retry.
@@ -126,11 +126,7 @@
 // caller has closed the connection or the response broke off after its start, and after any
 // other panic, which it logs.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
-	if h.cfg.DisableKeepAlives() {
-		w.Header().Set("Connection", "close")
-	}
-	q := &request{h: h, w: w, r: r, arrived: arrived}
+	q := &request{h: h, w: w, r: r, arrived: time.Now()}
 	defer func() { h.buffers.release(q.reserved) }()
 	defer q.recoverPanic()
 	defer func() { q.bodyRest.stop(http.NewResponseController(w)) }()
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -57,6 +57,8 @@
 	results []fleet.Result
 	blocked bool            // requests wait for a server
 	stop    context.Context // see front.Config.Stop; nil: never ends
+	// draining is the result of front.Config.DisableKeepAlives.
+	draining atomic.Bool
 	// serverPanics is the number of further calls of Server that panic.
 	serverPanics atomic.Int32
 }
@@ -152,7 +154,7 @@
 		ConnPool: pool, ServiceTimes: front.NewServiceTimeEstimator(), RetryBudget: retry.NewWindowBudget(),
 		RetryLimits:       func() retry.WindowLimits { return retry.WindowLimits{Ratio: 0.2, Slack: 100, Window: time.Minute} },
 		VMCount:           func() int { return 1 },
-		DisableKeepAlives: func() bool { return false }, MaxBufferedBytes: 1 << 20, Stop: stop, Metrics: front.NewMetrics(tally.NoopScope), Logger: log.NewNopLogger(),
+		DisableKeepAlives: backends.draining.Load, MaxBufferedBytes: 1 << 20, Stop: stop, Metrics: front.NewMetrics(tally.NoopScope), Logger: log.NewNopLogger(),
 	})
 }
 
@@ -396,6 +398,33 @@
 		Entry("while a server has it", false, false, http.StatusGatewayTimeout),
 	)
 
+	// Guards against a connection that stays open after a planned stop has begun: the caller sends
+	// its next request so late that the stop breaks it off.
+	DescribeTable("closes its connection if a planned stop begins before its answer",
+		func(path string, wantStatus int) {
+			add(func(w http.ResponseWriter, r *http.Request) {
+				backends.draining.Store(true)
+				if r.URL.Path != "/short/a" {
+					ok(w, r)
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body) // lets net/http detect the end of the connection
+				<-r.Context().Done()
+			})
+			req, err := http.NewRequestWithContext(context.Background(), "POST", entry.URL+path, strings.NewReader("x"))
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Id", "r-1")
+			req.Header.Set("Timeout-Ms", "60000")
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(wantStatus))
+			Expect(resp.Close).To(BeTrue())
+		},
+		Entry("of a server", "/not-idempotent/a", http.StatusOK),
+		Entry("of the VM", "/short/a", http.StatusGatewayTimeout),
+	)
+
 	// Guards against an unexpected fault in the work for one request that ends the process or
 	// occupies a server for ever.
 	It("is the only one to fail if its work panics", func() {
