front: requests that a planned stop would break off are refused as not run

Cause: a VM that stops took requests until the end of its grace period, also if they could not end before.

Change: a request whose deadline is after the end of the stop is refused with 503 and Retry-After if less than two usual service times are left. No server has it, and callers have other VMs.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,6 +84,7 @@
 	cancel            context.CancelFunc
 	requestsCtx       context.Context // that of all requests of callers; ends shortly before a planned stop does
 	endRequests       context.CancelFunc
+	requestsEnd       atomic.Pointer[time.Time] // time at which a planned stop calls endRequests; nil before one
 	loops             sync.WaitGroup
 	draining          atomic.Bool // Drain was called, as on SIGTERM
 	disableKeepAlives atomic.Bool // callers' connections close after the response in progress
@@ -217,7 +218,7 @@
 		HeaderCodec: platform.HeaderCodec{}, Routes: e.state.routes.Load, Servers: source, Queue: e.queue, ConnPool: e.pool,
 		ServiceTimes: front.NewServiceTimeEstimator(), RetryBudget: retry.NewWindowBudget(), RetryLimits: e.retryLimits,
 		VMCount: func() int { return len(e.state.VMs()) }, DisableKeepAlives: e.disableKeepAlives.Load,
-		MaxBufferedBytes: e.options.MaxBufferedBytes, Stop: e.requestsCtx, Metrics: front.NewMetrics(e.metrics.Scope), Logger: logger,
+		MaxBufferedBytes: e.options.MaxBufferedBytes, Stop: e.requestsCtx, StopsAt: e.requestsEndAt, Metrics: front.NewMetrics(e.metrics.Scope), Logger: logger,
 	})
 	e.callerListener = front.NewListener(e.listeners.callers, e.callerTimeouts)
 	e.callerServer = front.NewServer(e.countActive(handler), maxHeaderBytes)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -71,13 +71,15 @@
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace))
 	defer cancel()
 	_ = level.Info(e.log).Log("msg", "planned stop started", "grace_ms", grace.Milliseconds())
+	requestsEnd := started.Add(grace - answerMargin)
+	e.requestsEnd.Store(&requestsEnd)
 	e.disableKeepAlives.Store(true)
 	e.unregister(ctx)
 	select {
 	case <-time.After(readinessPropagationDelay - time.Since(started)):
 	case <-ctx.Done():
 	}
-	end := time.AfterFunc(time.Until(started.Add(grace-answerMargin)), e.endRequests)
+	end := time.AfterFunc(time.Until(requestsEnd), e.endRequests)
 	defer end.Stop()
 	if err := front.Drain(ctx, e.callerListener, e.callerServer, e.log); err != nil {
 		_ = level.Warn(e.log).Log("msg", "requests still in progress at the end of the grace period; closing their connections", "requests", e.activeRequests.Load(), "err", err)
@@ -95,6 +97,15 @@
 	close(e.stopped)
 }
 
+// requestsEndAt returns the time at which a planned stop ends the requests of callers, or zero if
+// none has begun.
+func (e *Entry) requestsEndAt() time.Time {
+	if end := e.requestsEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // closeBackground closes the connections to siblings and backend servers and
 // waits for the background loops.
 func (e *Entry) closeBackground() {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -80,7 +80,10 @@
 	MaxBufferedBytes int64
 	// Stop ends the requests in progress when it ends: with a refusal as not run those that
 	// no server has received, and as timed out the others.
-	Stop    context.Context //nolint:containedctx // that of the process, not of a request
+	Stop context.Context //nolint:containedctx // that of the process, not of a request
+	// StopsAt returns the time at which a planned stop that has begun ends Stop, or zero.
+	// Requests that are not expected to end before are refused as not run.
+	StopsAt func() time.Time
 	Metrics *Metrics
 	Logger  log.Logger
 }
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -57,8 +57,10 @@
 	results []fleet.Result
 	blocked bool            // requests wait for a server
 	stop    context.Context // see front.Config.Stop; nil: never ends
-	// draining is the result of front.Config.DisableKeepAlives.
+	// draining is the result of front.Config.DisableKeepAlives, and stopsAt that of
+	// front.Config.StopsAt.
 	draining atomic.Bool
+	stopsAt  time.Time
 	// serverPanics is the number of further calls of Server that panic.
 	serverPanics atomic.Int32
 }
@@ -154,7 +156,8 @@
 		ConnPool: pool, ServiceTimes: front.NewServiceTimeEstimator(), RetryBudget: retry.NewWindowBudget(),
 		RetryLimits:       func() retry.WindowLimits { return retry.WindowLimits{Ratio: 0.2, Slack: 100, Window: time.Minute} },
 		VMCount:           func() int { return 1 },
-		DisableKeepAlives: backends.draining.Load, MaxBufferedBytes: 1 << 20, Stop: stop, Metrics: front.NewMetrics(tally.NoopScope), Logger: log.NewNopLogger(),
+		DisableKeepAlives: backends.draining.Load, MaxBufferedBytes: 1 << 20, Stop: stop,
+		StopsAt: func() time.Time { return backends.stopsAt }, Metrics: front.NewMetrics(tally.NoopScope), Logger: log.NewNopLogger(),
 	})
 }
 
@@ -425,6 +428,27 @@
 		Entry("of the VM", "/short/a", http.StatusGatewayTimeout),
 	)
 
+	// Guards against a request that goes to a server although a planned stop will break it off
+	// before its usual service time (here 370 ms) is over.
+	DescribeTable("arrives during a planned stop",
+		func(left time.Duration, wantStatus int) {
+			add(ok)
+			backends.draining.Store(true)
+			backends.stopsAt = time.Now().Add(left)
+			resp, _, err := send("POST", "/not-idempotent/a", "x")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(wantStatus))
+			Expect(resp.Close).To(BeTrue())
+			if wantStatus == http.StatusServiceUnavailable {
+				Expect(backends.runCounts()).To(BeEmpty())
+				Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		},
+		Entry("too late to end before it", 700*time.Millisecond, http.StatusServiceUnavailable),
+		Entry("after it was due", -time.Second, http.StatusServiceUnavailable),
+		Entry("early enough", time.Minute/2, http.StatusOK),
+	)
+
 	// Guards against an unexpected fault in the work for one request that ends the process or
 	// occupies a server for ever.
 	It("is the only one to fail if its work panics", func() {
--- a/internal/front/prepare.go
+++ b/internal/front/prepare.go
@@ -19,6 +19,11 @@
 // reasonStopping is the reason for ending a request because the VM stops.
 const reasonStopping = "stopping"
 
+// stopServiceTimes is the number of usual service times that have to be left before the end of a
+// planned stop when a request arrives whose deadline is later. Service times vary, and a server may
+// be slower than usual.
+const stopServiceTimes = 2
+
 // bodyReadMargin is the time from the deadline of a request until reading its body fails.
 // A failed read looks like a caller who has left, so the deadline must come first.
 const bodyReadMargin = 50 * time.Millisecond
@@ -65,9 +70,22 @@
 	if route.LatencyGoal == 0 {
 		q.softDeadline = q.deadline
 	}
+	if !q.endsBeforeStop() {
+		return http.StatusServiceUnavailable, reasonStopping
+	}
 	return q.readBody(limits.BodyBytes)
 }
 
+// endsBeforeStop reports whether the request can be expected to end before a planned stop breaks
+// it off. Callers have other VMs to send it to, as long as no server has it.
+func (q *request) endsBeforeStop() bool {
+	end := q.h.cfg.StopsAt()
+	if end.IsZero() || !q.deadline.After(end) {
+		return true
+	}
+	return !q.arrived.Add(stopServiceTimes * q.h.cfg.ServiceTimes.Estimate(q.route)).After(end)
+}
+
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
