front: a planned stop keeps connections on which a pipelined request is served

Cause: Conn took the first read of a request for the end of its idle time. net/http may have read the request together with the one before, and then there is no such read: the connection counted as idle while the request was served, and Drain closed it after 1 s.

Ruled out: http.Server.Shutdown, which the daemon with holders uses.

Change: the start of a request ends the idle time.

--- a/internal/daemon/path_bench_test.go
+++ b/internal/daemon/path_bench_test.go
@@ -34,6 +34,16 @@
 // startPair starts two entry VMs with one pool and warms up its target. It returns
 // the caller addresses of the holder of the pool and of the other VM.
 func startPair(b *testing.B, target string) (holder, nonHolder string) {
+	b.Helper()
+	holderVM, nonHolderVM := startVMs(b, target)
+	holder, nonHolder = holderVM.CallerAddress(), nonHolderVM.CallerAddress()
+	warmUp(b, holder, nonHolder)
+	return holder, nonHolder
+}
+
+// startVMs starts two entry VMs with one pool. It returns the holder of the pool and the other
+// VM.
+func startVMs(b testing.TB, target string) (holder, nonHolder *daemon.Daemon) {
 	b.Helper()
 	ctx := context.Background()
 	platform, err := standin.Listen(ctx, "127.0.0.1:0", 1)
@@ -72,15 +82,13 @@
 	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		for i, d := range vms {
 			if len(d.Targets(time.Now())) > 0 && d.Holders(time.Now())[0].Holder != "" && vms[1-i].Holders(time.Now())[0].Holder != "" {
-				holder, nonHolder = d.CallerAddress(), vms[1-i].CallerAddress()
 				time.Sleep(300 * time.Millisecond) // until the candidate lists are refreshed
-				warmUp(b, holder, nonHolder)
-				return holder, nonHolder
+				return d, vms[1-i]
 			}
 		}
 	}
 	b.Fatal("the pool has no holder with targets that both VMs know, after 30 s")
-	return "", ""
+	return nil, nil
 }
 
 // warmUp sends 3000 calls to each address, enough to end the cold start of the
@@ -96,7 +104,7 @@
 	}
 }
 
-func freeAddress(b *testing.B) string {
+func freeAddress(b testing.TB) string {
 	b.Helper()
 	l := httptest.NewUnstartedServer(nil).Listener
 	defer func() { _ = l.Close() }()
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -240,12 +240,14 @@
 	c.idleSince = time.Now()
 }
 
-// StopTimeout stops the running timeout. It is called once the header of a request
-// has been read.
-func (c *Conn) StopTimeout() {
+// StartRequest stops the running timeout and ends the idle time. It is called once the header
+// of a request has been read. Read does not see the start of each request: net/http may have read
+// it together with the one before.
+func (c *Conn) StartRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopCloseTimer()
+	c.idleSince = time.Time{}
 }
 
 func (c *Conn) startCloseTimer(d time.Duration) {
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -118,6 +119,44 @@
 	}
 }
 
+// Guards against a stop that takes a connection for idle while a request is served that net/http
+// has read together with the one before it: Conn.Read is not called for the second request.
+func TestDrainKeepsConnectionsWithPipelinedRequests(t *testing.T) {
+	l, err := front.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := front.NewListener(l, func() front.Timeouts { return front.Timeouts{} })
+	s := front.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/2" {
+			if left := listener.CloseIdle(time.Now().Add(time.Hour)); left != 1 {
+				t.Errorf("%d connections left, want that of the request in progress", left)
+			}
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}), 1<<20)
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, firstRequest+strings.Replace(firstRequest, "/1", "/2", 1)); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2"} {
+		resp, err := http.ReadResponse(r, nil) //nolint:bodyclose // read to its end
+		if err != nil {
+			t.Fatalf("no response to %s: %v", want, err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != want {
+			t.Errorf("response body %q, error %v; want body %q", body, err, want)
+		}
+	}
+}
+
 // Guards against a stop that waits for callers who keep idle connections open.
 func TestDrainClosesIdleConnections(t *testing.T) {
 	d := newDrainTest(t)
--- /dev/null
+++ b/internal/front/export_test.go
@@ -0,0 +1,6 @@
+package front
+
+import "time"
+
+// CloseIdle is closeIdle.
+func (l *Listener) CloseIdle(before time.Time) int { return l.closeIdle(before) }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,7 +14,7 @@
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
-				c.StopTimeout()
+				c.StartRequest()
 			}
 			h.ServeHTTP(w, r)
 		}),
