daemon: an answer sent during a planned stop closes its connection

Cause: as in the entry daemon, Connection: close was set when a request arrived.

Change: a ResponseWriter sets it when the answer is written.

--- a/internal/daemon/path_bench_test.go
+++ b/internal/daemon/path_bench_test.go
@@ -35,7 +35,7 @@
 // the caller addresses of the holder of the pool and of the other VM.
 func startPair(b *testing.B, target string) (holder, nonHolder string) {
 	b.Helper()
-	holderVM, nonHolderVM := startVMs(b, target)
+	holderVM, nonHolderVM := startVMs(b, target, "1ms")
 	holder, nonHolder = holderVM.CallerAddress(), nonHolderVM.CallerAddress()
 	warmUp(b, holder, nonHolder)
 	return holder, nonHolder
@@ -43,7 +43,7 @@
 
 // startVMs starts two entry VMs with one pool. It returns the holder of the pool and the other
 // VM.
-func startVMs(b testing.TB, target string) (holder, nonHolder *daemon.Daemon) {
+func startVMs(b testing.TB, target, drainLead string) (holder, nonHolder *daemon.Daemon) {
 	b.Helper()
 	ctx := context.Background()
 	platform, err := standin.Listen(ctx, "127.0.0.1:0", 1)
@@ -56,7 +56,7 @@
 		s, err := settings.Parse([]string{
 			"--id", fmt.Sprintf("vm-%d", i), "--region", "ost", "--failure-domain", "ost-graz",
 			"--caller-listen", freeAddress(b), "--operator-listen", freeAddress(b), "--sibling-listen", freeAddress(b),
-			"--platform", "http://" + platform.Address(), "--drain-lead", "1ms",
+			"--platform", "http://" + platform.Address(), "--drain-lead", drainLead,
 		}, io.Discard)
 		if err != nil {
 			b.Fatal(err)
@@ -65,7 +65,11 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		b.Cleanup(func() { _ = d.Stop(ctx) })
+		b.Cleanup(func() {
+			canceled, cancel := context.WithCancel(ctx)
+			cancel()
+			_ = d.Stop(canceled)
+		})
 		vms = append(vms, d)
 	}
 	put, _ := http.NewRequest(http.MethodPut, "http://"+vms[0].OperatorAddress()+"/v1/config?base=0",
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -86,12 +87,27 @@
 // asks the caller to close the connection and connect to another VM, which leaves
 // few connections open when the listener closes.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
-	if d.draining.Load() {
+	d.gateway.ServeHTTP(&drainWriter{ResponseWriter: w, draining: &d.draining}, r)
+}
+
+// drainWriter closes the connection after answers that are sent during a planned stop, also if
+// their requests arrived before.
+type drainWriter struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter. The gateway calls it for each answer.
+func (w *drainWriter) WriteHeader(status int) {
+	if w.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	d.gateway.ServeHTTP(w, r)
+	w.ResponseWriter.WriteHeader(status)
 }
 
+// Unwrap returns the wrapped writer to http.ResponseController.
+func (w *drainWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // waitForForwards returns when no forward of a sibling is in progress or ctx ends.
 func (d *Daemon) waitForForwards(ctx context.Context) {
 	for d.forwardsInFlight.Load() > 0 && ctx.Err() == nil {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -25,7 +25,7 @@
 		_, _ = io.WriteString(w, r.URL.Path)
 	}))
 	t.Cleanup(target.Close)
-	holder, _ := startVMs(t, target.Listener.Addr().String())
+	holder, _ := startVMs(t, target.Listener.Addr().String(), "1ms")
 	address := holder.CallerAddress()
 	c, err := net.Dial("tcp", address)
 	if err != nil {
@@ -62,3 +62,39 @@
 		}
 	}
 }
+
+// Guards against a connection that stays open after a planned stop has begun, because its request
+// arrived before: the caller sends the next request while the VM closes the connection.
+func TestStopClosesConnectionsOfEarlierRequests(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-release
+		w.Header().Set("Goldcresthinge-Instance", "i1")
+	}))
+	t.Cleanup(target.Close)
+	holder, _ := startVMs(t, target.Listener.Addr().String(), "10m")
+	responses := make(chan *http.Response, 1)
+	go func() {
+		defer close(responses)
+		resp, err := http.Get("http://" + holder.CallerAddress() + "/plan/1")
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_ = resp.Body.Close()
+		responses <- resp
+	}()
+	<-started
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = holder.Stop(ctx) }()
+	for !holder.Status(time.Now()).Draining {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	resp, ok := <-responses
+	if ok && (resp.StatusCode != http.StatusOK || !resp.Close) {
+		t.Errorf("status %s, connection closes: %v; want 200 and true", resp.Status, resp.Close)
+	}
+}
