backend: a repeated refusal is not taken for the answer to another request

Cause: a response without a request ID was accepted if it said that the request was not run. The refusals of health checks have no ID, and health checks share connections with requests.

Change: a response without an ID answers a request only if nothing else was sent on the connection; otherwise it is skipped. A request without an ID gets a connection of its own.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -69,7 +69,8 @@
 
 // Request is one request for a backend server.
 type Request struct {
-	ID         string // compared with that of the response; empty for a health check, whose response has none
+	ID         string // compared with that of the response; empty if the caller sent none
+	Probe      bool   // a health check, whose response has no ID
 	Method     string
 	RequestURI string // path and query as the caller sent them, as in http.Request.RequestURI
 	Host       string
@@ -113,7 +114,9 @@
 // is safe for concurrent use.
 func (p *ConnPool) Do(ctx context.Context, proto HeaderCodec, server fleet.Server, req *Request) (*Response, error) {
 	started := time.Now()
-	c, err := p.get(ctx, server)
+	// No response names a request without an ID, so nothing else may have been sent on its
+	// connection.
+	c, err := p.get(ctx, server, req.ID == "" && !req.Probe)
 	if err != nil {
 		return nil, &ExchangeError{ConnRefused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
@@ -126,7 +129,7 @@
 		p.put(c, "")
 		return nil, &ExchangeError{Err: err}
 	}
-	ex := &exchange{pool: p, conn: c, proto: proto, id: req.ID, method: req.Method, requestDone: make(chan struct{})}
+	ex := &exchange{pool: p, conn: c, proto: proto, id: req.ID, probe: req.Probe, method: req.Method, requestDone: make(chan struct{})}
 	ex.stopWatchingContext = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	resp, err := ex.run(out, req)
 	if err != nil {
@@ -192,6 +195,7 @@
 	conn                *conn
 	proto               HeaderCodec
 	id                  string
+	probe               bool
 	method              string
 	stopWatchingContext func() bool
 
@@ -292,9 +296,7 @@
 		return nil, nil // the final response follows
 	}
 	info := ex.proto.ParseResponse(resp.StatusCode, resp.Header)
-	// A response without a request ID is accepted only if it says that the request was
-	// not run, or if the request has none, as a health check.
-	if info.RequestID != ex.id && (info.RequestID != "" || !info.NotRun) {
+	if !ex.isAnswered(info) {
 		return nil, ex.skipResponse(resp)
 	}
 	// A server that responds before it has received the request may read the rest of it
@@ -310,6 +312,21 @@
 	}, nil
 }
 
+// isAnswered reports whether a response belongs to the request. One without an ID may be a copy of
+// an earlier one, for instance of the refusal of a health check. It belongs to a health check, and
+// to a request only if nothing else was sent on the connection; then it must say that the request
+// was not run, unless the request has no ID either.
+func (ex *exchange) isAnswered(info ResponseInfo) bool {
+	switch {
+	case info.RequestID != "":
+		return info.RequestID == ex.id
+	case ex.probe:
+		return true
+	default:
+		return !ex.conn.used && ex.skippedResponses == 0 && (info.NotRun || ex.id == "")
+	}
+}
+
 // skipResponse reads and discards a response to another request. A faulty server may
 // send one before the response to this request.
 func (ex *exchange) skipResponse(resp *http.Response) error {
@@ -385,7 +402,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := p.Do(ctx, proto, server, &Request{
-		Method: http.MethodGet, RequestURI: path, Host: server.Address, Timeout: timeout,
+		Probe: true, Method: http.MethodGet, RequestURI: path, Host: server.Address, Timeout: timeout,
 	})
 	if err != nil {
 		return ResponseInfo{}, err
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -45,6 +45,7 @@
 	address     string
 	idleTimeout time.Duration // how long the connection may stay idle
 	idleSince   time.Time     // start of the idle time
+	used        bool          // an earlier request was sent on the connection
 	// headerBytesLeft is the number of bytes that may still be read for the headers
 	// of the responses in progress, or unlimited. It is used by the reading goroutine
 	// only.
@@ -123,10 +124,11 @@
 	return optErr
 }
 
-// get returns a usable idle connection to the server, or opens one.
-func (p *ConnPool) get(ctx context.Context, server fleet.Server) (*conn, error) {
+// get returns a usable idle connection to the server, or opens one. If fresh is set, it always
+// opens one.
+func (p *ConnPool) get(ctx context.Context, server fleet.Server, fresh bool) (*conn, error) {
 	now := time.Now()
-	for {
+	for !fresh {
 		c := p.takeIdle(server.ID)
 		if c == nil {
 			break
@@ -177,7 +179,7 @@
 	if d, ok := parseKeepAlive(keepAlive); ok {
 		c.idleTimeout = max(d-idleMargin, 0)
 	}
-	c.idleSince = time.Now()
+	c.idleSince, c.used = time.Now(), true
 	if c.idleTimeout == 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -178,6 +178,95 @@
 	}
 }
 
+// Guards against a refusal that a server wrote before and writes once more on the connection: it
+// has no request ID, and was taken as the refusal of the request that waits there, which the server
+// runs. The caller was told that the request had not run, or another server ran it too.
+func TestPoolTakesNoRepeatedRefusalForAResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	const informational = "HTTP/1.1 103 Early Hints\r\n\r\n"
+	for _, c := range []struct {
+		name   string
+		pieces []string // written after the request, which follows a health check, has been read
+		want   string   // body of the response; empty: none arrives
+	}{
+		{"before the response", []string{refusal + rawResponse("1", "one")}, "one"},
+		{"in two pieces", []string{refusal[:20], refusal[20:], rawResponse("1", "one")}, "one"},
+		{"twice", []string{refusal, refusal + rawResponse("1", "one")}, "one"},
+		{"after an informational response", []string{informational, refusal, rawResponse("1", "one")}, "one"},
+		{"with the ID of another request", []string{strings.Replace(refusal, "Not-Run", "Id: 0\r\nNot-Run", 1), rawResponse("1", "one")}, "one"},
+		{"of which only the request ID is missing", []string{strings.Replace(refusal, "503 Busy", "400 Bad Request", 1), rawResponse("1", "one")}, "one"},
+		{"and no response", []string{refusal}, ""},
+	} {
+		address := listenRaw(t, func(conn net.Conn) {
+			r := bufio.NewReader(conn)
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, refusal)
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			for _, p := range c.pieces {
+				_, _ = io.WriteString(conn, p)
+			}
+		})
+		p := backend.NewConnPool(nil, backend.DefaultMaxHeaderBytes)
+		s := fleet.Server{ID: "s-1", Address: address}
+		if _, err := p.Probe(t.Context(), codec{}, s, "/health", time.Minute); err != nil {
+			t.Fatalf("%s: health check: %v", c.name, err)
+		}
+		resp, err := p.Do(t.Context(), codec{}, s, getRequest("1"))
+		var failure *backend.ExchangeError
+		switch {
+		case err != nil && (c.want != "" || !errors.As(err, &failure) || !failure.Sent):
+			t.Errorf("%s: error %v", c.name, err)
+		case err == nil:
+			body, err := io.ReadAll(resp.Body)
+			if resp.Info.NotRun || string(body) != c.want || err != nil {
+				t.Errorf("%s: not run: %v, body %q, error %v; want body %q", c.name, resp.Info.NotRun, body, err, c.want)
+			}
+			_ = resp.Body.Close()
+		}
+		if p.Dialed() != 1 || p.HasIdle(s.ID) {
+			t.Errorf("%s: %d connections, kept: %v; want the one of the health check, not kept", c.name, p.Dialed(), p.HasIdle(s.ID))
+		}
+		p.Close()
+	}
+}
+
+// Guards against a refusal without a request ID that is not accepted although it can belong to no
+// other request: the request would wait for its deadline.
+func TestPoolAcceptsRefusalsWithoutAnIDOnNewConnections(t *testing.T) {
+	s := newScriptedServer(t, []string{"HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"})
+	p := backend.NewConnPool(nil, backend.DefaultMaxHeaderBytes)
+	defer p.Close()
+	resp, err := p.Do(t.Context(), codec{}, s, getRequest("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if !resp.Info.NotRun {
+		t.Error("the refusal was not accepted")
+	}
+}
+
+// Guards against a repeated response that is taken for the response to a request without an ID,
+// which no response names.
+func TestPoolSendsRequestsWithoutAnIDOnNewConnections(t *testing.T) {
+	s := newScriptedServer(t, []string{rawResponse("1", "one")}, []string{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo"})
+	p := backend.NewConnPool(nil, backend.DefaultMaxHeaderBytes)
+	defer p.Close()
+	if got, err := doRequest(t, p, s, getRequest("1")); got != "one" || err != nil {
+		t.Fatalf("response to request 1: got %q, error %v, want \"one\"", got, err)
+	}
+	if got, err := doRequest(t, p, s, getRequest("")); got != "two" || err != nil {
+		t.Errorf("response to the request without an ID: got %q, error %v, want \"two\"", got, err)
+	}
+	if p.Dialed() != 2 {
+		t.Errorf("%d connections, want 2", p.Dialed())
+	}
+}
+
 // Guards against surplus bytes after a response that are read as the response
 // to the next request.
 func TestPoolDropsConnectionsWithSurplusBytes(t *testing.T) {
