backend: holders take a refusal only if it can belong to no other call

Cause: Sender compared the call ID of an answer only if the answer had one, and kept connections on which it had rejected an answer without a body.

Change: a refusal on a connection in use must have the ID of its call, else the outcome is unknown; a connection with a rejected answer is closed. The stand-in target returns the ID.

--- a/internal/backend/sender.go
+++ b/internal/backend/sender.go
@@ -101,8 +101,13 @@
 		cancel()
 		return nil, newSendError(err, g)
 	}
-	if e := checkResponseHeader(resp, callID); e != nil {
+	if e := checkResponseHeader(resp, callID, g.reusedConn.Load()); e != nil {
 		_ = resp.Body.Close()
+		// net/http keeps the connection if the response has no body. The answer to this call may
+		// still arrive on it.
+		if c := g.sentOn.Load(); c != nil {
+			_ = c.Close()
+		}
 		cancel()
 		return nil, &SendError{Err: e}
 	}
@@ -118,6 +123,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*guardedConn); ok {
+				g.reusedConn.Store(info.Reused)
 				c.guard.Store(g)
 			}
 		},
@@ -165,10 +171,13 @@
 
 // checkResponseHeader rejects a response that belongs to another call, or that
 // has neither a length nor a transfer encoding: the end of its body could not
-// be distinguished from a broken connection.
-func checkResponseHeader(resp *http.Response, callID string) *outcome.Error {
-	if got := resp.Header.Get(outcome.HeaderCallID); got != "" && got != callID {
-		return outcome.NewUnknown(outcome.ReasonResponseMismatch, "target returned the answer of another call")
+// be distinguished from a broken connection. Targets need not return the ID of the call, but
+// without it a refusal may be a copy of an earlier one on the same connection.
+func checkResponseHeader(resp *http.Response, callID string, reusedConn bool) *outcome.Error {
+	notRun := outcome.ParseKind(resp.Header.Get(outcome.HeaderOutcome)) == outcome.NotRun
+	got := resp.Header.Get(outcome.HeaderCallID)
+	if got != callID && (got != "" || notRun && reusedConn) {
+		return outcome.NewUnknown(outcome.ReasonResponseMismatch, "target returned the answer of another call, or a refusal that does not name its call")
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return outcome.NewUnknown(outcome.ReasonBadAnswer, "target returned an answer without a length")
--- a/internal/backend/sender_test.go
+++ b/internal/backend/sender_test.go
@@ -28,6 +28,9 @@
 
 func allow() error { return nil }
 
+// refusal is an answer that says that the call was not run.
+const refusal = "HTTP/1.1 503 Busy\r\nGoldcresthinge-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+
 func newPost(key string) *call.Call {
 	return &call.Call{Method: http.MethodPost, Path: "/orders", Header: http.Header{}, Body: []byte(key)}
 }
@@ -173,6 +176,71 @@
 		Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
 	})
 
+	// Guards against a refusal that a target has sent before and sends once more, which is taken for
+	// the refusal of a call that the target runs.
+	DescribeTable("takes a refusal for that of the call only if it can belong to no other",
+		func(head string, earlierCall, want bool) {
+			address := rawTarget(func(conn net.Conn, r *bufio.Reader) {
+				if earlierCall {
+					_, _ = http.ReadRequest(r)
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				id := req.Header.Get(outcome.HeaderCallID)
+				_, _ = io.WriteString(conn, strings.ReplaceAll(head, "ID", id))
+				// The connection stays open until the sender closes it.
+				_, _ = io.Copy(io.Discard, r)
+			})
+			c := &call.Call{Method: http.MethodGet, Path: "/", Header: http.Header{}}
+			if earlierCall {
+				answer, err := send(address, c, allow)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(answer.Body.Close()).To(Succeed())
+			}
+			answer, err := send(address, c, allow)
+			if want {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(answer.Status).To(Equal(http.StatusServiceUnavailable))
+				Expect(answer.Body.Close()).To(Succeed())
+				return
+			}
+			Expect(outcome.FromError(err).Reason).To(Equal(outcome.ReasonResponseMismatch))
+			Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
+		},
+		Entry("without a call ID, on a new connection", refusal, false, true),
+		Entry("without a call ID, on a connection in use", refusal, true, false),
+		Entry("with the call ID, on a connection in use", strings.Replace(refusal, "\r\n", "\r\nGoldcresthinge-Call-Id: ID\r\n", 1), true, true),
+		Entry("with the call ID of another call", strings.Replace(refusal, "\r\n", "\r\nGoldcresthinge-Call-Id: 0\r\n", 1), true, false),
+	)
+
+	// Guards against a connection that is used again after it has carried the answer of another
+	// call: each later call on it would get that of the one before.
+	It("does not use a connection again that has carried the answer of another call", func() {
+		var connections atomic.Int32
+		address := rawTarget(func(conn net.Conn, r *bufio.Reader) {
+			id := "Goldcresthinge-Call-Id: other\r\n"
+			if connections.Add(1) > 1 {
+				id = ""
+			}
+			for {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"Content-Length: 0\r\n\r\n")
+			}
+		})
+		c := &call.Call{Method: http.MethodGet, Path: "/", Header: http.Header{}}
+		_, err := send(address, c, allow)
+		Expect(err).To(HaveOccurred())
+		answer, err := send(address, c, allow)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Body.Close()).To(Succeed())
+		Expect(connections.Load()).To(Equal(int32(2)))
+	})
+
 	DescribeTable("never takes a truncated answer for a whole one",
 		func(head string) {
 			address := rawTarget(func(conn net.Conn, r *bufio.Reader) {
--- a/internal/backend/write_guard.go
+++ b/internal/backend/write_guard.go
@@ -19,6 +19,8 @@
 	cancel   func()
 	sentOn   atomic.Pointer[guardedConn]
 	checkErr atomic.Pointer[error]
+	// reusedConn is true if an earlier call was sent on the connection of this one.
+	reusedConn atomic.Bool
 }
 
 // allowWrite is called before each write on c. It returns an error if the write
--- a/internal/standin/fakebackend/handler.go
+++ b/internal/standin/fakebackend/handler.go
@@ -40,7 +40,7 @@
 	}
 	lt, _ := r.Context().Value(lifetimeKey{}).(*lifetime)
 	d, faults := s.admit(r)
-	s.setCommonHeaders(w.Header())
+	s.setCommonHeaders(w.Header(), r)
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	switch d {
 	case decisionShed:
@@ -235,10 +235,13 @@
 	http.Error(w, string(reason), status)
 }
 
-// setCommonHeaders sets the headers that are part of every answer.
-func (s *Server) setCommonHeaders(h http.Header) {
+// setCommonHeaders sets the headers that are part of every answer to r.
+func (s *Server) setCommonHeaders(h http.Header, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if id := r.Header.Get(outcome.HeaderCallID); id != "" {
+		h.Set(outcome.HeaderCallID, id)
+	}
 	h.Set(outcome.HeaderInstance, s.instanceLocked())
 	if s.draining {
 		h.Set(outcome.HeaderLeaving, "1")
--- a/internal/standin/fakebackend/probes.go
+++ b/internal/standin/fakebackend/probes.go
@@ -58,7 +58,7 @@
 	s.record.Probes++
 	down := s.down
 	s.mu.Unlock()
-	s.setCommonHeaders(w.Header())
+	s.setCommonHeaders(w.Header(), r)
 	if down {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return false
