backend: tests for responses that end within their header

Another operator reports a 200 with an empty or short body, framed as whole, after a target had stopped within the header of its answer. Here it could not be shown: a header cut at each byte, in 4 framings, on new connections and on those in use, with and without an informational response, always gave an error with an unknown outcome.

--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -307,6 +307,39 @@
 	}
 }
 
+// Guards against a response whose server stops within the header and closes the connection, and
+// that is taken for a whole one with an empty or shorter body: at each byte, on new connections and on
+// those in use, also after an informational response.
+func TestPoolTakesNoTruncatedHeaderForAWholeOne(t *testing.T) {
+	const informational = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	for _, framing := range []string{"Content-Length: 100\r\n", "Transfer-Encoding: chunked\r\n", "", "Connection: close\r\n"} {
+		for _, first := range []string{"", informational} {
+			header := first + "HTTP/1.1 200 OK\r\nId: 1\r\n" + framing + "X: y z\r\n\r\n"
+			for end := range len(header) {
+				for _, used := range []bool{false, true} {
+					answers := []string{header[:end]}
+					if used {
+						answers = []string{rawResponse("0", "zero"), header[:end]}
+					}
+					s := newScriptedServer(t, answers)
+					p := backend.NewConnPool(nil, backend.DefaultMaxHeaderBytes)
+					if used {
+						if _, err := doRequest(t, p, s, getRequest("0")); err != nil {
+							t.Fatal(err)
+						}
+					}
+					got, err := doRequest(t, p, s, getRequest("1"))
+					var failure *backend.ExchangeError
+					if !errors.As(err, &failure) || !failure.Sent {
+						t.Errorf("connection in use: %v: header ends after %q: body %q, error %v; want an ExchangeError with Sent", used, header[:end], got, err)
+					}
+					p.Close()
+				}
+			}
+		}
+	}
+}
+
 // Guards against a complete response without a length that is taken for a
 // broken one.
 func TestPoolReadsResponsesThatEndWithTheConnection(t *testing.T) {
--- a/internal/backend/sender_test.go
+++ b/internal/backend/sender_test.go
@@ -262,6 +262,26 @@
 		Entry("head only", "HTTP/1.1 200 OK\r\nContent-"),
 	)
 
+	// Guards against an answer whose target stops within the header and closes the connection, and
+	// that is taken for a whole one with an empty or shorter body.
+	DescribeTable("takes no answer that ends within its header for a whole one",
+		func(framing string) {
+			header := "HTTP/1.1 200 OK\r\n" + framing + "X: y z\r\n\r\n"
+			for end := range len(header) {
+				address := rawTarget(func(conn net.Conn, r *bufio.Reader) {
+					_, _ = http.ReadRequest(r)
+					_, _ = io.WriteString(conn, header[:end])
+				})
+				_, err := send(address, newPost("one"), allow)
+				Expect(err).To(HaveOccurred(), "header ends after %q", header[:end])
+				Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
+			}
+		},
+		Entry("declared length", "Content-Length: 100\r\n"),
+		Entry("chunked", "Transfer-Encoding: chunked\r\n"),
+		Entry("no length", ""),
+	)
+
 	// Guards against bytes of an abandoned answer that are read as part of the
 	// next one.
 	It("does not reuse a connection whose answer was not read to its end", func() {
