--- a/internal/entry/deployment_test.go
+++ b/internal/entry/deployment_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -249,6 +250,48 @@
 	}
 }
 
+// Guards against a row of another writer in the registry that ends a VM, or after which it no longer
+// follows the registry.
+func TestEntryVMsFollowARegistryWithOddRows(t *testing.T) {
+	d := newDeployment(t)
+	const row = `{"address":%s,"info":{"service":"svc","zone":"a","slots":%s},"status":{"state":"ready"},"x":%s}`
+	for i, r := range []string{
+		"\x00\xff", "null", "[]",
+		fmt.Sprintf(row, `"127.0.0.1:65536"`, "2", "0"),
+		fmt.Sprintf(row, `"127.0.0.1:0"`, "2", "0"),
+		fmt.Sprintf(row, `"0.0.0.0:1"`, "2", "0"),
+		fmt.Sprintf(row, `"127.0.0.1:1"`, "9223372036854775807", "0"),
+		fmt.Sprintf(row, `"127.0.0.1:1"`, "1e400", "0"),
+		fmt.Sprintf(row, `"127.0.0.1:1"`, "2", strings.Repeat("[", 30000)+strings.Repeat("]", 30000)),
+	} {
+		d.store.PutRaw(platform.TableServers, fmt.Sprint("odd-", i), []byte(r))
+	}
+	// The VMs have read the rows when they follow what was written after them.
+	for _, s := range d.servers[1:] {
+		s.SetLeaving(true)
+		d.must(s.Register(d.store))
+	}
+	for _, n := range d.vms {
+		d.eventually("only the server that stays gets requests", func() bool {
+			before := d.servedByServer(d.servers[0].ID)
+			for range 10 {
+				if status := d.status(n.callerAddress, "/not-idempotent/x"); status != 200 {
+					t.Errorf("status %d, want 200", status)
+				}
+			}
+			return d.servedByServer(d.servers[0].ID)-before == 10
+		})
+	}
+	for _, n := range d.vms {
+		select {
+		case <-n.entry.Done():
+			t.Error("a VM has ended")
+		default:
+		}
+	}
+	d.checkNoRequestRanTwice()
+}
+
 // Guards against a VM that stops serving because the store is unavailable.
 func TestEntryVMsServeWithoutTheStore(t *testing.T) {
 	d := newDeployment(t)
