front: callers that send slowly get the answer to a broken-off upload

Change: the rest is discarded until the deadline of the request, and for 500 ms at least. Requests that were not streamed keep their deadline.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -13,9 +13,9 @@
 	// bodyStopTime is how long a read of a body that is no longer needed may still wait for
 	// the caller.
 	bodyStopTime = 100 * time.Millisecond
-	// bodyDiscardTime is how long net/http may read and discard the rest of a body after
-	// the answer. A connection that is closed with unread bytes is reset, and the caller may
-	// lose the answer.
+	// bodyDiscardTime is how long net/http may at least read and discard the rest of a body
+	// after the answer. A connection that is closed with unread bytes is reset, and the caller
+	// may lose the answer.
 	bodyDiscardTime = 500 * time.Millisecond
 )
 
@@ -53,11 +53,11 @@
 	return n, err
 }
 
-// stop ends the reading of the body before its request ends: net/http reads the rest itself, and
-// uses the buffers of the connection again. It has no effect on a nil callerBody or if the whole
-// body has been read.
-func (b *callerBody) stop(controller *http.ResponseController) {
-	if b == nil || b.ended.Load() {
+// stop ends the reading of the body before its request ends: net/http then reads and discards some
+// of the rest until the given time, and uses the buffers of the connection again. It has no effect if
+// the whole body has been read.
+func (b *callerBody) stop(controller *http.ResponseController, discardUntil time.Time) {
+	if b.ended.Load() {
 		return
 	}
 	b.stopped.Store(true)
@@ -67,7 +67,10 @@
 	_ = controller.SetReadDeadline(time.Now().Add(bodyStopTime))
 	b.reading.Lock()
 	defer b.reading.Unlock()
-	_ = controller.SetReadDeadline(time.Now().Add(bodyDiscardTime))
+	if earliest := time.Now().Add(bodyDiscardTime); discardUntil.Before(earliest) {
+		discardUntil = earliest
+	}
+	_ = controller.SetReadDeadline(discardUntil)
 }
 
 // broken reports whether the caller sent a body that ends early or cannot be read. A nil
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -132,7 +132,11 @@
 	q := &request{h: h, w: w, r: r, arrived: time.Now()}
 	defer func() { h.buffers.release(q.reserved) }()
 	defer q.recoverPanic()
-	defer func() { q.bodyRest.stop(http.NewResponseController(w)) }()
+	defer func() {
+		if q.streamed {
+			q.bodyRest.stop(http.NewResponseController(w), q.deadline.Add(bodyReadMargin))
+		}
+	}()
 	if status, reason := q.prepare(); status != 0 {
 		q.finish(status, reason, 0)
 		return
--- a/internal/front/upload_test.go
+++ b/internal/front/upload_test.go
@@ -237,6 +237,28 @@
 		Expect(bytes.HasPrefix(sent, atServer)).To(BeTrue())
 	})
 
+	// Guards against an answer that is lost because the VM closes the connection while the caller
+	// still sends its body: a caller may read the answer only afterwards.
+	It("gets its answer after a slow body of which the server is lost", func() {
+		addRaw(func(net.Conn, io.Reader) {})
+		conn, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		const pieces, piece = 20, 8 << 10
+		head := strings.NewReplacer("/short/", "/not-idempotent/", "2000", "60000").Replace(uploadHead(fmt.Sprint("Content-Length: ", pieces*piece)))
+		_, err = io.WriteString(conn, head)
+		Expect(err).NotTo(HaveOccurred())
+		for range pieces {
+			_, err := io.WriteString(conn, strings.Repeat("x", piece))
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(60 * time.Millisecond)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+	})
+
 	// Guards against a process that ends because a body exceeds the limit while the server's
 	// answer is passed on: both changed the header of the answer. Only the race detector, or a
 	// crash, shows it.
