--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -63,8 +63,8 @@
 		out.Body, out.Length = io.MultiReader(bytes.NewReader(q.body), q.bodyRest), q.r.ContentLength
 		q.streamed = true
 		// By default, net/http reads and discards the rest of the body when the header of the
-		// answer is written: the server would get what it leaves. The error says that the
-		// connection never does so.
+		// answer is written, and the server would get only what is left. The call fails only for
+		// a writer that is not that of net/http.
 		_ = http.NewResponseController(q.w).EnableFullDuplex()
 	case len(q.body) > 0:
 		out.Body, out.Length = bytes.NewReader(q.body), int64(len(q.body))
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -116,7 +116,7 @@
 	body     []byte      // the whole body, or its first maxBufferedBody bytes if bodyRest is set
 	bodyRest *callerBody // the rest of a longer body; nil if there is none
 	reserved int64       // bytes taken from Handler.buffers
-	streamed bool        // bodyRest was given to a server, so the request cannot be sent again; set by streamBody
+	streamed bool        // bodyRest was given to a server, so the request cannot be sent again
 
 	server      string // ID of the server that has the request at present; empty if none
 	attempts    int    // number of times the request may have arrived at a server
