--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -180,7 +180,7 @@
 
 // Guards against a refusal that a server wrote before and writes once more on the connection: it
 // has no request ID, and was taken as the refusal of the request that waits there, which the server
-// runs. The caller was told that the request had not run, or another server ran it too.
+// runs. The caller got an answer that said "not run", or another server ran the request too.
 func TestPoolTakesNoRepeatedRefusalForAResponse(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	const informational = "HTTP/1.1 103 Early Hints\r\n\r\n"
--- a/internal/front/upload_test.go
+++ b/internal/front/upload_test.go
@@ -218,8 +218,8 @@
 		Entry("chunks, caller goes on sending", true, false),
 	)
 
-	// Guards against a server that gets other bytes in the place of the rest of the body while
-	// the caller is told that it refused the request early.
+	// Guards against a server that gets other bytes in the place of the rest of the body after it
+	// has refused the request early.
 	It("sends a server that refuses it early nothing but a part of the body", func() {
 		got := make(chan []byte, 1)
 		addRaw(func(conn net.Conn, body io.Reader) {
