backend: a call that meets a rejected connection goes to another one

The write failed, but the call counted as sent there, and its second send was refused.

Change: a rejected connection refuses the write before the call is recorded as sent, so net/http takes another connection.

--- a/internal/backend/sender.go
+++ b/internal/backend/sender.go
@@ -106,7 +106,7 @@
 		// net/http keeps the connection if the response has no body. The answer to this call may
 		// still arrive on it.
 		if c := g.sentOn.Load(); c != nil {
-			_ = c.Close()
+			c.reject()
 		}
 		cancel()
 		return nil, &SendError{Err: e}
--- a/internal/backend/write_guard.go
+++ b/internal/backend/write_guard.go
@@ -50,11 +50,22 @@
 // connection at a time.
 type guardedConn struct {
 	net.Conn
-	guard atomic.Pointer[writeGuard]
+	guard    atomic.Pointer[writeGuard]
+	rejected atomic.Bool // see reject
+}
+
+// reject closes the connection. net/http may still choose it for the next call until it has
+// noticed. Nothing is written then, so that the call can go to another connection.
+func (c *guardedConn) reject() {
+	c.rejected.Store(true)
+	_ = c.Close()
 }
 
 // Write implements net.Conn.
 func (c *guardedConn) Write(p []byte) (int, error) {
+	if c.rejected.Load() {
+		return 0, net.ErrClosed
+	}
 	if g := c.guard.Load(); g != nil {
 		if err := g.allowWrite(c); err != nil {
 			return 0, err
