--- a/review/standins-2/cluster.go
+++ b/review/standins-2/cluster.go
@@ -27,6 +27,7 @@
 	heartbeat   = 1500 * time.Millisecond
 	serviceTime = 100 * time.Millisecond
 	slots       = 2
+	coldRate    = 6.5 // warmup_per_s
 )
 
 // target is a backend server that writes its row at each heartbeat.
@@ -44,7 +45,7 @@
 func (r *run) startTarget(id, zone, service string) (*target, error) {
 	t := &target{
 		Server: &platformtest.Server{
-			ID: id, Service: service, FailureDomain: zone, Version: "v1", Slots: slots, ServiceTime: serviceTime, Record: r.arrived,
+			ID: id, Service: service, FailureDomain: zone, Version: "v1", Slots: slots, ServiceTime: r.work, Record: r.arrived,
 		},
 		run: r, born: time.Now().UnixMilli(),
 	}
@@ -140,5 +141,5 @@
 		{Name: "lookup", Prefix: "/lookup/", Service: service, Idempotent: true, MaxAttempts: 2, TimeoutMs: 1500},
 		{Name: "order", Prefix: "/order/", Service: service, MaxAttempts: 2, TimeoutMs: 1500},
 		{Name: "other", Prefix: "/other/", Service: otherService, MaxAttempts: 2, TimeoutMs: 1500},
-	}, []platformtest.Service{{Name: service, ColdPerS: 6.5, Connections: 220}, {Name: otherService, ColdPerS: 6.5, Connections: 220}})
+	}, []platformtest.Service{{Name: service, ColdPerS: r.coldPerSecond, Connections: 220}, {Name: otherService, ColdPerS: r.coldPerSecond, Connections: 220}})
 }
--- a/review/standins-2/run.go
+++ b/review/standins-2/run.go
@@ -23,6 +23,9 @@
 	seed                  uint64
 	started               time.Time
 	store                 *platformtest.Store
+	regions               map[string]string // by zone
+	work                  time.Duration     // that a target needs for a request
+	coldPerSecond         float64           // warmup_per_s
 
 	mu       sync.Mutex
 	vms      []*vm
@@ -53,7 +56,7 @@
 	}
 	r := &run{
 		dir: dir, logs: logs, recordFile: record, trouble: trouble, seed: seed, started: time.Now(),
-		store: platformtest.NewStore(), requests: map[string]*request{}, siblings: map[string]string{},
+		store: platformtest.NewStore(), regions: regions, work: serviceTime, coldPerSecond: coldRate, requests: map[string]*request{}, siblings: map[string]string{},
 	}
 	r.store.Stored = r.replaceAddress
 	return r, nil
--- a/review/standins-2/vm.go
+++ b/review/standins-2/vm.go
@@ -161,8 +161,8 @@
 front = %q
 ready = %q
 [network.zones]
-`, v.id, ip, v.zone, regions[v.zone], port, port, v.callers, v.ready)
-	for zone, region := range regions {
+`, v.id, ip, v.zone, v.run.regions[v.zone], port, port, v.callers, v.ready)
+	for zone, region := range v.run.regions {
 		fmt.Fprintf(&out, "%s = %q\n", zone, region)
 	}
 	fmt.Fprintf(&out, `[platform]
