--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -28,12 +30,13 @@
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "whether the disruption takes place")
 	keep := flag.String("logs", "", "folder for the logs of the VMs; by default they are deleted")
+	limit := flag.Duration("limit", timeLimit, "time after which the case is given up")
 	seed := flag.Uint64("seed", 1, "seed for the times of the callers")
 	flag.Parse()
-	os.Exit(play(*name, *record, *keep, *trouble, *seed))
+	os.Exit(play(*name, *record, *keep, *trouble, *seed, *limit))
 }
 
-func play(name, record, logs string, trouble bool, seed uint64) int {
+func play(name, record, logs string, trouble bool, seed uint64, limit time.Duration) int {
 	f, ok := cases[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
@@ -45,11 +48,7 @@
 		return exitFailed
 	}
 	defer r.close()
-	defer time.AfterFunc(timeLimit, func() {
-		fmt.Fprintln(os.Stderr, "error: the case took too long")
-		r.close()
-		os.Exit(exitFailed)
-	}).Stop()
+	go r.giveUp(limit)
 	if err := f(r); err != nil {
 		r.notef("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, "error:", err)
@@ -65,3 +64,17 @@
 	}
 	return exitHeld
 }
+
+// giveUp ends the run, with all that it has started, after the limit or when this program is to end.
+func (r *run) giveUp(limit time.Duration) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case s := <-signals:
+		fmt.Fprintln(os.Stderr, "error: ended by", s)
+	case <-time.After(limit):
+		fmt.Fprintln(os.Stderr, "error: the case took too long")
+	}
+	r.close()
+	os.Exit(exitFailed)
+}
--- a/review/standins-2/run.go
+++ b/review/standins-2/run.go
@@ -27,6 +27,8 @@
 	work                  time.Duration     // that a target needs for a request
 	coldPerSecond         float64           // warmup_per_s
 
+	closing sync.Once
+
 	mu       sync.Mutex
 	vms      []*vm
 	closers  []func()
@@ -84,15 +86,20 @@
 	return value
 }
 
-// close ends all that the run has started.
+// close ends all that the run has started. Further calls wait for the first one.
 func (r *run) close() {
-	for _, v := range r.vms {
-		v.stop()
-	}
-	for _, f := range slices.Backward(r.closers) {
-		f()
-	}
-	_ = os.RemoveAll(r.dir)
+	r.closing.Do(func() {
+		r.mu.Lock()
+		vms, closers := slices.Clone(r.vms), slices.Clone(r.closers)
+		r.mu.Unlock()
+		for _, v := range vms {
+			v.stop()
+		}
+		for _, f := range slices.Backward(closers) {
+			f()
+		}
+		_ = os.RemoveAll(r.dir)
+	})
 }
 
 // onClose calls f at the end of the run, after the VMs have ended.
