socket, backend: a reset response is not taken for a complete one

Callers got a part of an answer as the whole one: a server had answered an upload at once with a 200 without a length and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one call only. If the goroutine that writes the upload gets ECONNRESET, the next read returns EOF, which ends a body without a length. Trace of the connection: "write: connection reset by peer", then "read: EOF" with the socket in state 7 (closed); after a mere close by the server, EOF comes in state 8 (close-wait).

Change: socket.Conn returns EOF only if the peer has closed its side. If the socket no longer exists at EOF, it waits for the write in progress, which returns at once then, and hands its error to the reader. A connection that the peer closed before it was reset fails with EPIPE, so a response that had arrived whole by then stays complete. Health checks and skipped responses use the same connections.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -14,6 +14,7 @@
 
 	"goldcresthinge.example/goldcresthinge/internal/capacity"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/socket"
 )
 
 const (
@@ -214,18 +215,13 @@
 		p.ledger.ReleaseServer()
 		return nil, fmt.Errorf("connect to backend server %s at %s: %w", server.ID, server.Address, err)
 	}
+	// A body without a length ends with its connection.
+	sc := socket.New(nc)
 	c := &conn{
-		Conn: nc, server: server.ID, address: server.Address, idleTimeout: defaultIdleTimeout, headerBytesLeft: unlimited,
-		ledger: p.ledger,
+		Conn: sc, rawConn: sc.RawConn(), server: server.ID, address: server.Address, idleTimeout: defaultIdleTimeout,
+		headerBytesLeft: unlimited, ledger: p.ledger,
 	}
 	c.r = bufio.NewReaderSize(c, readBufferSize)
-	if sc, ok := nc.(syscall.Conn); ok {
-		c.rawConn, err = sc.SyscallConn()
-		if err != nil {
-			_ = c.Close()
-			return nil, fmt.Errorf("access socket of the connection to backend server %s: %w", server.ID, err)
-		}
-	}
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
--- /dev/null
+++ b/internal/front/broken_answer_test.go
@@ -0,0 +1,117 @@
+package front_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/front"
+	"goldcresthinge.example/goldcresthinge/internal/routing"
+)
+
+// longUploadBytes is longer than the buffers of a connection to a server.
+const longUploadBytes = 16 << 20
+
+// newUploadEntry starts an entry VM that takes bodies of longUploadBytes, and returns its address.
+func newUploadEntry(backends *fakeServers) string {
+	routes := &atomic.Pointer[routing.Table]{}
+	cfg := newConfig(backends, routes)
+	DeferCleanup(cfg.ConnPool.Close)
+	routes.Store(routing.NewTable(&routing.Configuration{
+		Version: 2,
+		Routes: []routing.Route{
+			{Name: "not-idempotent", Host: "127.0.0.1", Prefix: "/not-idempotent/", MaxAttempts: 2, LatencyGoal: time.Second, Backends: []routing.WeightedService{{Service: "s", Weight: 1}}},
+		},
+		Limits: routing.Limits{BodyBytes: 2 * longUploadBytes, HeaderBytes: 4096},
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	entry := httptest.NewUnstartedServer(nil)
+	Expect(entry.Listener.Close()).To(Succeed())
+	entry.Listener = front.NewListener(l, func() front.Timeouts { return front.Timeouts{} })
+	entry.Config = front.NewServer(front.NewHandler(cfg), 2*longUploadBytes)
+	entry.Start()
+	DeferCleanup(entry.Close)
+	return strings.TrimPrefix(entry.URL, "http://")
+}
+
+// addEarly adds a server that answers each upload with raw without reading its body, and then
+// runs end.
+func (s *fakeServers) addEarly(raw string, end func(*net.TCPConn)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	id := fmt.Sprintf("s-%d", len(s.list)+1)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				s.countRun(id)
+				_, _ = io.WriteString(conn, raw)
+				end(conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	s.list = append(s.list, fleet.Server{ID: id, Address: l.Addr().String()})
+}
+
+// Guards against a part of an answer without a length that a caller gets as the whole one because
+// the server reset the connection while the upload was still being written, and against a whole
+// one that is lost because the connection has ended.
+var _ = DescribeTable("an upload that is answered at once, without a length",
+	func(answerBytes int, reset bool) {
+		backends := &fakeServers{runs: map[string]int{}}
+		address := newUploadEntry(backends)
+		backends.addEarly("HTTP/1.1 200 OK\r\nId: r-1\r\nProof: p\r\n\r\n"+strings.Repeat("x", answerBytes), func(c *net.TCPConn) {
+			if reset {
+				_ = c.SetLinger(0)
+				return
+			}
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, c)
+		})
+		for range 20 {
+			conn, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			go func() {
+				head := strings.NewReplacer("/short/", "/not-idempotent/", "2000", "60000").Replace(uploadHead(fmt.Sprint("Content-Length: ", longUploadBytes)))
+				_, _ = io.WriteString(conn, head+strings.Repeat("u", longUploadBytes))
+			}()
+			status, complete, got := 0, false, 0
+			if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				data, err := io.ReadAll(resp.Body)
+				status, complete, got = resp.StatusCode, err == nil, len(data)
+			}
+			_ = conn.Close()
+			if reset {
+				Expect(status == http.StatusOK && complete).To(BeFalse(), "the caller got %d bytes as the whole answer", got)
+				continue
+			}
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(complete).To(BeTrue())
+			Expect(got).To(Equal(answerBytes))
+		}
+	},
+	Entry("and reset", 1000, true),
+	Entry("and reset before its body", 0, true),
+	Entry("and reset after a part that has been passed on", maxBufferedAnswer+1000, true),
+	Entry("and closed", 1000, false),
+	Entry("and closed after a long answer", maxBufferedAnswer+1000, false),
+)
