platform: a write whose response is reset does not count as done

A write to the store, or an object written to the platform, counted as done if its 200 had no length and the connection was reset while the request was still being sent. The object may be missing then.

Messages of siblings carry their length.

--- a/internal/backend/reset_test.go
+++ b/internal/backend/reset_test.go
@@ -103,3 +103,34 @@
 		}
 	}
 }
+
+// Guards against a server that counts as healthy after a part of the response to a health check, and
+// against a response to another request, cut short by a reset, that is skipped.
+func TestResetEndsNoHealthCheck(t *testing.T) {
+	for name, raw := range map[string]string{
+		"no length":                         "HTTP/1.1 200 OK\r\nFrom: s-1\r\n\r\npart",
+		"no body":                           "HTTP/1.1 200 OK\r\nFrom: s-1\r\n\r\n",
+		"declared length":                   "HTTP/1.1 200 OK\r\nFrom: s-1\r\nContent-Length: 5\r\n\r\npart",
+		"no length, of another request":     "HTTP/1.1 200 OK\r\nId: 7\r\n\r\npart",
+		"last chunk, of another request":    "HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"whole body, of another request":    rawResponse("7", "whole"),
+		"informational response, then none": "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		for range 5 {
+			step := make(chan struct{})
+			close(step)
+			p := backend.NewConnPool(nil, backend.DefaultMaxHeaderBytes)
+			t.Cleanup(p.Close)
+			s := newEarlyServer(t, raw, step, func(c *net.TCPConn) {
+				time.Sleep(5 * time.Millisecond) // the client reads the response meanwhile
+				reset(c)
+			})
+			if info, err := p.Probe(t.Context(), codec{}, s, "/health", time.Minute); err == nil {
+				t.Errorf("%s: health check succeeded with %+v", name, info)
+			}
+			if p.HasIdle(s.ID) {
+				t.Errorf("%s: the connection is kept", name)
+			}
+		}
+	}
+}
--- a/internal/backend/sender_test.go
+++ b/internal/backend/sender_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -262,6 +263,24 @@
 		Entry("head only", "HTTP/1.1 200 OK\r\nContent-"),
 	)
 
+	// Guards against a part of an answer that is taken for the whole one because the connection was
+	// reset while the call was still being sent.
+	It("takes no answer without a length while the call is being sent", func() {
+		address := rawTarget(func(conn net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(5 * time.Millisecond) // the sender reads the header meanwhile
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		})
+		c := newPost("")
+		c.Body = make([]byte, longUpload)
+		for range 10 {
+			_, err := send(address, c, allow)
+			Expect(err).To(HaveOccurred())
+			Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
+		}
+	})
+
 	// Guards against an answer whose target stops within the header and closes the connection, and
 	// that is taken for a whole one with an empty or shorter body.
 	DescribeTable("takes no answer that ends within its header for a whole one",
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -20,6 +20,7 @@
 
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/wire"
+	"goldcresthinge.example/goldcresthinge/internal/socket"
 )
 
 // maxResponseBytes bounds the body of a response.
@@ -85,7 +86,7 @@
 			// Proxies of the environment are not used, since the platform is
 			// addressed by its IP address.
 			Proxy:               nil,
-			DialContext:         o.Dial,
+			DialContext:         socket.NewDialer(o.Dial),
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     30 * time.Second,
 			// Traffic with the platform counts as control traffic, for which a
--- a/internal/platform/httpplatform/client_test.go
+++ b/internal/platform/httpplatform/client_test.go
@@ -194,4 +194,31 @@
 		Expect(errorKinds(err)).To(uncertain)
 		Expect(commits.Load()).To(BeEquivalentTo(1))
 	})
+
+	// Guards against an object that counts as written although the response was reset while the
+	// object was still being sent.
+	It("reports a write whose response is reset as uncertain", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+				}
+				time.Sleep(5 * time.Millisecond) // the client reads the header meanwhile
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			}
+		}()
+		c := newClient("http://" + l.Addr().String())
+		object := make([]byte, 16<<20) // longer than the buffers of the connection
+		for range 20 {
+			Expect(errorKinds(c.Objects().Put(ctx, "o", object))).To(uncertain)
+		}
+	})
 })
