backend, sibling: a status below 100 is not that of a response

A server that sent an answer with the status 000 made its caller wait for the whole deadline, which ended in 504. If a response followed it, or its body contained one, the caller got that. Behind a holder, the status reached http.ResponseWriter, which panics, so the caller lost its connection.

Cause: http.ReadResponse reads any three digits as a status. The exchange of entry VMs took all statuses below 200 for informational ones; 101 too, after which the connection speaks another protocol. The sender of the holders and the client of siblings did not check the status.

Change: call.CheckStatus accepts final statuses from 200 on. Others end the exchange, or the forward, with an unknown outcome. In an error that a sibling reports, an invalid status becomes 502.

The clients of the store and of the platform already took such a status for an error.

--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -51,7 +51,7 @@
 	return fleet.Server{ID: "s-1", Address: address}, ends
 }
 
-func listenRaw(t *testing.T, serve func(net.Conn)) string {
+func listenRaw(t testing.TB, serve func(net.Conn)) string {
 	t.Helper()
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -320,12 +320,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", unexpectedEOF(err))
 	}
-	if resp.StatusCode < http.StatusOK {
+	if isInformational(resp.StatusCode) {
 		if ex.informationalResponses++; ex.informationalResponses > maxInformationalResponses {
 			return nil, errTooManyInformational
 		}
 		return nil, nil // the final response follows
 	}
+	if err := call.CheckStatus(resp.StatusCode); err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
 	info := ex.proto.ParseResponse(resp.StatusCode, resp.Header)
 	if !ex.isAnswered(info) {
 		return nil, ex.skipResponse(resp)
@@ -343,6 +346,12 @@
 	}, nil
 }
 
+// isInformational reports whether a response with status is followed by another one to the same
+// request. After a change of protocol, which no request asks for, none follows.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // isAnswered reports whether a response belongs to the request. One without an ID may be a copy of
 // an earlier one, for instance of the refusal of a health check. It belongs to a health check, and
 // to a request only if nothing else was sent on the connection; then it must say that the request
--- /dev/null
+++ b/internal/backend/invalid_head_test.go
@@ -0,0 +1,101 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/backend"
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/inventory"
+	"goldcresthinge.example/goldcresthinge/internal/outcome"
+)
+
+// invalidHeads are bytes that a server sends in place of a response to request 1. Some are followed
+// by bytes that look like one.
+var invalidHeads = map[string]string{
+	"status 000":                               "HTTP/1.1 000 X\r\nId: 1\r\nFrom: s-1\r\nContent-Length: 4\r\n\r\nbody",
+	"status 000 without a body":                "HTTP/1.1 000 X\r\nId: 1\r\nFrom: s-1\r\nContent-Length: 0\r\n\r\n",
+	"status 000, then a response":              "HTTP/1.1 000 X\r\nId: 1\r\nFrom: s-1\r\nContent-Length: 0\r\n\r\n" + rawResponse("1", "body"),
+	"status 000, response in its body":         "HTTP/1.1 000 X\r\nId: 1\r\nContent-Length: 46\r\n\r\n" + rawResponse("1", "body"),
+	"status 099":                               "HTTP/1.1 099 X\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"status +20":                               "HTTP/1.1 +20 X\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"status 000 after an informational status": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+	"change of protocol that was not asked for": "HTTP/1.1 101 Switching Protocols\r\nId: 1\r\nUpgrade: x\r\n\r\n" +
+		rawResponse("1", "body"),
+}
+
+// listenInvalid starts a server that answers each request with raw and keeps the connection open
+// until the client closes it.
+func listenInvalid(t testing.TB, raw string) string {
+	t.Helper()
+	return listenRaw(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, raw)
+		_, _ = io.Copy(io.Discard, r)
+	})
+}
+
+// Guards against bytes that are no response and are passed on as one, and against a wait for a
+// response after them.
+func TestInvalidHeadsAreNoResponse(t *testing.T) {
+	for name, raw := range invalidHeads {
+		s := fleet.Server{ID: "s-1", Address: listenInvalid(t, raw)}
+		p := backend.NewConnPool(nil, backend.DefaultMaxHeaderBytes)
+		t.Cleanup(p.Close)
+		for _, method := range []string{http.MethodGet, http.MethodHead} {
+			started := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			req := getRequest("1")
+			req.Method = method
+			resp, err := p.Do(ctx, codec{}, s, req)
+			var failure *backend.ExchangeError
+			if !errors.As(err, &failure) || !failure.Sent {
+				t.Errorf("%s: error %v, want an ExchangeError of a request that was sent", name, err)
+			}
+			if resp != nil {
+				body, bodyErr := io.ReadAll(resp.Body)
+				t.Errorf("%s: status %d, header %q and body %q (error %v) passed on", name, resp.Status, resp.Header, body, bodyErr)
+				_ = resp.Body.Close()
+			}
+			if time.Since(started) > 3*time.Second {
+				t.Errorf("%s: reported after %v", name, time.Since(started))
+			}
+			cancel()
+		}
+		if info, err := p.Probe(t.Context(), codec{}, s, "/health", time.Second); err == nil {
+			t.Errorf("%s: health check succeeded with %+v", name, info)
+		}
+		if p.HasIdle(s.ID) {
+			t.Errorf("%s: the connection is kept", name)
+		}
+	}
+}
+
+var _ = Describe("Sender", func() {
+	// Guards against bytes that are no answer and are passed on as one.
+	It("takes no answer with an invalid head", func() {
+		sender := backend.NewSender(nil)
+		DeferCleanup(sender.Close)
+		for name, raw := range invalidHeads {
+			address := listenInvalid(GinkgoTB(), raw)
+			answer, err := sender.Send(GinkgoT().Context(), inventory.Target{Address: address}, 10, newPost("one"), allow)
+			if answer != nil {
+				_ = answer.Body.Close()
+			}
+			Expect(err).To(HaveOccurred(), name)
+			Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown), name)
+		}
+	})
+})
--- a/internal/backend/sender.go
+++ b/internal/backend/sender.go
@@ -169,11 +169,14 @@
 	return req, nil
 }
 
-// checkResponseHeader rejects a response that belongs to another call, or that
+// checkResponseHeader rejects a response that has no valid status, belongs to another call, or
 // has neither a length nor a transfer encoding: the end of its body could not
 // be distinguished from a broken connection. Targets need not return the ID of the call, but
 // without it a refusal may be a copy of an earlier one on the same connection.
 func checkResponseHeader(resp *http.Response, callID string, reusedConn bool) *outcome.Error {
+	if err := call.CheckStatus(resp.StatusCode); err != nil {
+		return outcome.NewUnknown(outcome.ReasonBadAnswer, "target returned no valid answer: "+err.Error())
+	}
 	notRun := outcome.ParseKind(resp.Header.Get(outcome.HeaderOutcome)) == outcome.NotRun
 	got := resp.Header.Get(outcome.HeaderCallID)
 	if got != callID && (got != "" || notRun && reusedConn) {
--- a/internal/call/header.go
+++ b/internal/call/header.go
@@ -1,11 +1,15 @@
 package call
 
 import (
+	"fmt"
 	"net/http"
 	"net/textproto"
 	"strings"
 )
 
+// maxStatus is the largest status that has three digits.
+const maxStatus = 999
+
 // hopByHop lists the headers that apply to a single connection (RFC 9110,
 // section 7.6.1).
 var hopByHop = []string{
@@ -27,3 +31,13 @@
 		h.Del(name)
 	}
 }
+
+// CheckStatus returns an error unless status is that of a final answer. net/http also reads statuses
+// below 100, which HTTP does not define (RFC 9110, section 15), and with which a response cannot be
+// written.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("%03d is not the status of an answer", status)
+	}
+	return nil
+}
--- a/internal/front/broken_answer_test.go
+++ b/internal/front/broken_answer_test.go
@@ -115,3 +115,39 @@
 	Entry("and closed", 1000, false),
 	Entry("and closed after a long answer", maxBufferedAnswer+1000, false),
 )
+
+// Guards against bytes that are no answer and that a caller gets as one, and against a caller that
+// waits for an answer after them.
+var _ = DescribeTable("a request for which a server sends an invalid head",
+	func(head string) {
+		const whole = "HTTP/1.1 200 OK\r\nId: r-1\r\nProof: p\r\nContent-Length: 5\r\n\r\nwhole"
+		untilClosed := func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }
+		for _, rest := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 3\r\n\r\nbad", "\r\nbad", "Content-Length: 0\r\n\r\n" + whole} {
+			backends := &fakeServers{runs: map[string]int{}}
+			address := strings.TrimPrefix(newEntry(backends).URL, "http://")
+			backends.addEarly(head+"Id: r-1\r\nProof: p\r\n"+rest, untilClosed)
+			backends.addEarly(whole, untilClosed)
+			for path, want := range map[string]int{"/idempotent/": http.StatusOK, "/not-idempotent/": http.StatusBadGateway} {
+				conn, err := net.Dial("tcp", address)
+				Expect(err).NotTo(HaveOccurred())
+				DeferCleanup(conn.Close)
+				started := time.Now()
+				_, _ = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r-1\r\nTimeout-Ms: 60000\r\n\r\n")
+				r := bufio.NewReader(conn)
+				resp, err := http.ReadResponse(r, nil)
+				Expect(err).NotTo(HaveOccurred())
+				body, err := io.ReadAll(resp.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(resp.StatusCode).To(Equal(want), "header %q, body %q", resp.Header, body)
+				Expect(time.Since(started)).To(BeNumerically("<", 30*time.Second))
+				if want == http.StatusOK {
+					Expect(string(body)).To(Equal("whole"))
+				}
+			}
+			Expect(backends.runCounts()).To(Equal(map[string]int{"s-1": 2, "s-2": 1}))
+		}
+	},
+	Entry("status 000", "HTTP/1.1 000 X\r\n"),
+	Entry("status 099", "HTTP/1.1 099 X\r\n"),
+	Entry("change of protocol", "HTTP/1.1 101 Switching Protocols\r\n"),
+)
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -145,8 +145,8 @@
 	ReasonBandwidthLimit Reason = "link-budget"
 	// ReasonResponseMismatch: a target or sibling sent the answer of another call.
 	ReasonResponseMismatch Reason = "crossed-answer"
-	// ReasonBadAnswer: a target sent an answer without a length, or a sibling sent a
-	// message of another type.
+	// ReasonBadAnswer: a target sent an answer without a length or with an invalid head, or a
+	// sibling sent such an answer or a message of another type.
 	ReasonBadAnswer Reason = "bad-answer"
 )
 
--- a/internal/sibling/client.go
+++ b/internal/sibling/client.go
@@ -153,6 +153,9 @@
 		ex.end(true) // no chunks follow an answer head that reports an error
 		return nil, e
 	}
+	if err := call.CheckStatus(int(head.GetStatus())); err != nil {
+		return fail(outcome.NewUnknown(outcome.ReasonBadAnswer, "sibling returned no valid answer: "+err.Error()))
+	}
 	return &call.Answer{
 		Status: int(head.GetStatus()),
 		Header: headerFromProto(head.GetHeader()),
--- a/internal/sibling/codec.go
+++ b/internal/sibling/codec.go
@@ -103,7 +103,7 @@
 
 // decodeError returns the error of an answer head, or nil if the call was answered.
 // An outcome number that this version does not define becomes Unknown: the call
-// may have run.
+// may have run. A status that is that of no answer becomes 502.
 func decodeError(a *siblingpb.ForwardAnswer) *outcome.Error {
 	kind := outcome.Unknown
 	switch a.GetOutcome() {
@@ -112,10 +112,14 @@
 	case uint32(outcome.NotRun):
 		kind = outcome.NotRun
 	}
+	status := int(a.GetStatus())
+	if call.CheckStatus(status) != nil {
+		status = http.StatusBadGateway
+	}
 	return &outcome.Error{
 		Kind:       kind,
 		Reason:     outcome.Reason(a.GetReason()),
-		Status:     int(a.GetStatus()),
+		Status:     status,
 		RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond,
 	}
 }
--- a/internal/sibling/forward_test.go
+++ b/internal/sibling/forward_test.go
@@ -111,6 +111,30 @@
 		Expect(loads).To(HaveLen(1))
 	})
 
+	// Guards against an answer that cannot be passed on: writing its status panics.
+	It("takes no answer with an invalid status", func() {
+		for _, status := range []int{-1, 0, 99, 101, 1000} {
+			handler.forward = func(context.Context, *call.Call) (*call.Answer, error) {
+				answer := answerWith(strings.NewReader("body"), 4)
+				answer.Status = status
+				return answer, nil
+			}
+			_, err := forward(context.Background())
+			Expect(err).To(HaveOccurred(), "status %d", status)
+			Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown))
+			Expect(outcome.FromError(err).Reason).To(Equal(outcome.ReasonBadAnswer))
+		}
+	})
+
+	It("takes no error with an invalid status", func() {
+		handler.forward = func(context.Context, *call.Call) (*call.Answer, error) {
+			return nil, &outcome.Error{Kind: outcome.NotRun, Reason: outcome.ReasonDeadline}
+		}
+		_, err := forward(context.Background())
+		Expect(outcome.FromError(err).Kind).To(Equal(outcome.NotRun))
+		Expect(outcome.FromError(err).Status).To(Equal(http.StatusBadGateway))
+	})
+
 	// Guards against a truncated answer that looks complete at the receiver.
 	It("reports a body that ends early", func() {
 		handler.forward = func(context.Context, *call.Call) (*call.Answer, error) {
