backend, platform, sibling: the names in a response header are tokens

A server whose response had a blank before the colon of Content-Length or Transfer-Encoding was passed on: callers got the framing of the chunks as the body, or a body that ended with the connection. A line that begins with a blank reached them as a part of the value before.

Cause: net/http accepts names with spaces without knowing them, and joins a line that begins with a blank with the line before. Names with control bytes it rejects.

Change: call.CheckHeaderNames rejects names that are no tokens, in responses of servers, targets, the store, the platform and siblings, and in informational responses. headScanner rejects lines that begin with a blank while the head of a server's or target's response is read. Reporting informational responses lifts the limit that net/http has for them, so the sender of the holders limits them itself.

The 96 heads with a control byte in, before or after a name were rejected before.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -236,7 +236,8 @@
 
 func (ex *exchange) run(out *http.Request, req *Request) (*Response, error) {
 	ex.conn.headerBytesLeft = ex.pool.maxHeaderBytes
-	ex.conn.inHead, ex.conn.headLines, ex.conn.lineBytes = true, 0, 0
+	ex.conn.head = headScanner{}
+	ex.conn.head.start()
 	if req.Body == nil || (req.Length >= 0 && req.Length <= maxInlineBody) {
 		err := ex.write(out)
 		close(ex.requestDone)
@@ -311,15 +312,20 @@
 // read returns the next response, or nil after an informational response or one
 // to another request.
 func (ex *exchange) read(out *http.Request) (*Response, error) {
-	ex.conn.inHead = true
+	if err := ex.startHead(); err != nil {
+		return nil, err
+	}
 	if _, err := ex.conn.r.Peek(1); err != nil {
 		return nil, fmt.Errorf("wait for response: %w", unexpectedEOF(err))
 	}
 	resp, err := http.ReadResponse(ex.conn.r, out) //nolint:bodyclose // exchangeBody or skipResponse closes it
-	ex.conn.inHead = false
+	ex.conn.head.inHead = false
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", unexpectedEOF(err))
 	}
+	if err := call.CheckHeaderNames(resp.Header); err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
 	if isInformational(resp.StatusCode) {
 		if ex.informationalResponses++; ex.informationalResponses > maxInformationalResponses {
 			return nil, errTooManyInformational
@@ -346,6 +352,18 @@
 	}, nil
 }
 
+// startHead begins the head of the next response. A part of it may have been read together with the
+// response before.
+func (ex *exchange) startHead() error {
+	c := ex.conn
+	if c.head.inHead {
+		return nil // the first response: nothing was read before it
+	}
+	c.head.start()
+	buffered, _ := c.r.Peek(c.r.Buffered())
+	return c.countHead(buffered)
+}
+
 // isInformational reports whether a response with status is followed by another one to the same
 // request. After a change of protocol, which no request asks for, none follows.
 func isInformational(status int) bool {
--- a/internal/backend/invalid_head_test.go
+++ b/internal/backend/invalid_head_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
@@ -31,6 +33,28 @@
 	"status 000 after an informational status": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
 	"change of protocol that was not asked for": "HTTP/1.1 101 Switching Protocols\r\nId: 1\r\nUpgrade: x\r\n\r\n" +
 		rawResponse("1", "body"),
+	"blank in a name":                          "HTTP/1.1 200 OK\r\nId: 1\r\nFrom: s-1\r\nA name: x\r\nContent-Length: 4\r\n\r\nbody",
+	"blank after a name":                       "HTTP/1.1 200 OK\r\nId: 1\r\nA : x\r\nContent-Length: 4\r\n\r\nbody",
+	"blank after the name of the length":       "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 4\r\n\r\nbody",
+	"blank after the name of a second length":  "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 9\r\nContent-Length: 4\r\n\r\nbody",
+	"blank after the name of the encoding":     "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"blank in an informational response":       "HTTP/1.1 103 Early Hints\r\nA name: x\r\n\r\n" + rawResponse("1", "body"),
+	"line that begins with a blank":            "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nA: x\r\n B: y\r\n\r\nbody",
+	"line that begins with a tab":              "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nA: x\r\n\tB: y\r\n\r\nbody",
+	"line of blanks":                           "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nA: x\r\n  \r\n\r\nbody",
+	"length that begins with a blank":          "HTTP/1.1 200 OK\r\nId: 1\r\nA: x\r\n Content-Length: 4\r\n\r\nbody",
+	"folded line behind an informational head": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nA: x\r\n B: y\r\n\r\nbody",
+}
+
+func init() {
+	for b := range byte(128) {
+		if b < ' ' && b != '\n' || b == 127 {
+			c := string([]byte{b})
+			invalidHeads[fmt.Sprintf("byte %d in a name", b)] = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nA" + c + "name: x\r\n\r\nbody"
+			invalidHeads[fmt.Sprintf("byte %d before a name", b)] = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n" + c + "Name: x\r\n\r\nbody"
+			invalidHeads[fmt.Sprintf("byte %d after a name", b)] = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\nName" + c + ": x\r\n\r\nbody"
+		}
+	}
 }
 
 // listenInvalid starts a server that answers each request with raw and keeps the connection open
@@ -50,7 +74,9 @@
 // Guards against bytes that are no response and are passed on as one, and against a wait for a
 // response after them.
 func TestInvalidHeadsAreNoResponse(t *testing.T) {
-	for name, raw := range invalidHeads {
+	heads := maps.Clone(invalidHeads)
+	heads["folded line behind a skipped response"] = rawResponse("7", "other") + heads["line that begins with a blank"]
+	for name, raw := range heads {
 		s := fleet.Server{ID: "s-1", Address: listenInvalid(t, raw)}
 		p := backend.NewConnPool(nil, backend.DefaultMaxHeaderBytes)
 		t.Cleanup(p.Close)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -51,13 +51,10 @@
 	used        bool          // an earlier request was sent on the connection
 	ledger      *capacity.Ledger
 	closed      atomic.Bool
-	// headLines and headCost are the lines and the accounted memory of the response heads in
-	// progress. inHead is false once an empty line was read. They are used by the reading
-	// goroutine, and by put and Close.
-	inHead    bool
-	headLines int
-	lineBytes int
-	headCost  atomic.Int64
+	// head and headCost are the lines and the accounted memory of the response heads in
+	// progress. They are used by the reading goroutine, and by put and Close.
+	head     headScanner
+	headCost atomic.Int64
 	// headerBytesLeft is the number of bytes that may still be read for the headers
 	// of the responses in progress, or unlimited. It is used by the reading goroutine
 	// only.
@@ -84,28 +81,17 @@
 	return n, err
 }
 
-// countHead limits the lines of a response head and accounts for the memory that the head
-// takes once parsed.
+// countHead checks and limits the lines of a response head and accounts for the memory that the
+// head takes once parsed.
 func (c *conn) countHead(p []byte) error {
-	before := max(c.headLines, prepaidHeaderLines)
-	for _, b := range p {
-		if !c.inHead {
-			break
-		}
-		switch b {
-		case '\n':
-			c.inHead = c.lineBytes > 0
-			c.headLines++
-			c.lineBytes = 0
-		case '\r':
-		default:
-			c.lineBytes++
-		}
+	before := max(c.head.lines, prepaidHeaderLines)
+	if _, err := c.head.scan(p); err != nil {
+		return err
 	}
-	if c.headLines > maxHeaderLines {
+	if c.head.lines > maxHeaderLines {
 		return errTooManyHeaderLines
 	}
-	cost := int64(max(c.headLines, prepaidHeaderLines)-before) * headerLineCost
+	cost := int64(max(c.head.lines, prepaidHeaderLines)-before) * headerLineCost
 	if cost > 0 && !c.ledger.Take(capacity.AnswerHeads, cost) {
 		return ErrNoMemory
 	}
--- a/internal/backend/sender.go
+++ b/internal/backend/sender.go
@@ -20,6 +20,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -120,7 +121,15 @@
 }
 
 func withTrace(ctx context.Context, g *writeGuard) context.Context {
+	informational := 0
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		// net/http has no limit of its own for informational responses that it reports.
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			if informational++; informational > maxInformationalResponses {
+				return errTooManyInformational
+			}
+			return call.CheckHeaderNames(http.Header(header))
+		},
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*guardedConn); ok {
 				g.reusedConn.Store(info.Reused)
@@ -169,12 +178,16 @@
 	return req, nil
 }
 
-// checkResponseHeader rejects a response that has no valid status, belongs to another call, or
-// has neither a length nor a transfer encoding: the end of its body could not
+// checkResponseHeader rejects a response that has an invalid head, belongs to another call, or has
+// neither a length nor a transfer encoding: the end of its body could not
 // be distinguished from a broken connection. Targets need not return the ID of the call, but
 // without it a refusal may be a copy of an earlier one on the same connection.
 func checkResponseHeader(resp *http.Response, callID string, reusedConn bool) *outcome.Error {
-	if err := call.CheckStatus(resp.StatusCode); err != nil {
+	err := call.CheckStatus(resp.StatusCode)
+	if err == nil {
+		err = call.CheckHeaderNames(resp.Header)
+	}
+	if err != nil {
 		return outcome.NewUnknown(outcome.ReasonBadAnswer, "target returned no valid answer: "+err.Error())
 	}
 	notRun := outcome.ParseKind(resp.Header.Get(outcome.HeaderOutcome)) == outcome.NotRun
--- a/internal/backend/write_guard.go
+++ b/internal/backend/write_guard.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
@@ -38,6 +39,7 @@
 		g.cancel()
 		return err
 	}
+	c.heads.expect()
 	g.sentOn.Store(c)
 	return nil
 }
@@ -52,6 +54,47 @@
 	net.Conn
 	guard    atomic.Pointer[writeGuard]
 	rejected atomic.Bool // see reject
+	heads    responseHeads
+}
+
+// responseHeads checks the heads of the response to the call in progress. It is safe for concurrent
+// use: net/http writes and reads in two goroutines.
+type responseHeads struct {
+	mu      sync.Mutex
+	scanner headScanner
+}
+
+// expect is called before the first byte of a call is written.
+func (h *responseHeads) expect() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.scanner.start()
+}
+
+// check is called for all bytes that are read.
+func (h *responseHeads) check(p []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(p) > 0 && h.scanner.inHead {
+		n, err := h.scanner.scan(p)
+		if err != nil {
+			return err
+		}
+		p = p[n:]
+		if !h.scanner.inHead && h.scanner.statusClass == '1' {
+			h.scanner.start() // the final response follows
+		}
+	}
+	return nil
+}
+
+// Read implements net.Conn.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if headErr := c.heads.check(p[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
 }
 
 // reject closes the connection. net/http may still choose it for the next call until it has
--- a/internal/call/header.go
+++ b/internal/call/header.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the largest status that has three digits.
@@ -41,3 +43,15 @@
 	}
 	return nil
 }
+
+// CheckHeaderNames returns an error if a name in the header of an answer is not a token (RFC 9110,
+// section 5.1). net/http reads names with spaces as well, but does not know them, so that the body has
+// another end than the one that "Content-Length : 5" states.
+func CheckHeaderNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%q is not the name of a header", name)
+		}
+	}
+	return nil
+}
--- a/internal/platform/httpplatform/client.go
+++ b/internal/platform/httpplatform/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"goldcresthinge.example/goldcresthinge/internal/call"
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/wire"
 	"goldcresthinge.example/goldcresthinge/internal/socket"
@@ -225,6 +226,9 @@
 		return nil, wrapError(errUndetermined, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := call.CheckHeaderNames(resp.Header); err != nil {
+		return nil, wrapError(errUndetermined, err)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, wrapError(errUndetermined, err)
--- a/internal/platform/httpplatform/client_test.go
+++ b/internal/platform/httpplatform/client_test.go
@@ -195,6 +195,36 @@
 		Expect(commits.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against bytes that are no response and are taken for one.
+	DescribeTable("takes no response with an invalid head",
+		func(head string) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(conn))
+					_, _ = conn.Write([]byte(head + "Connection: close\r\n\r\n[]"))
+					_ = conn.Close()
+				}
+			}()
+			c := newClient("http://" + l.Addr().String())
+			Expect(errorKinds(c.Objects().Put(ctx, "o", []byte("x")))).To(uncertain)
+			_, err = c.Objects().Get(ctx, "o")
+			Expect(errorKinds(err)).To(unavailable)
+			_, err = c.VMs().List(ctx)
+			Expect(errorKinds(err)).To(unavailable)
+		},
+		Entry("status 000", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n"),
+		Entry("blank in a name", "HTTP/1.1 200 OK\r\nA name: x\r\nContent-Length: 2\r\n"),
+		Entry("blank after the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 20\r\n"),
+		Entry("control byte in a name", "HTTP/1.1 200 OK\r\nA\x01: x\r\nContent-Length: 2\r\n"),
+	)
+
 	// Guards against an object that counts as written although the response was reset while the
 	// object was still being sent.
 	It("reports a write whose response is reset as uncertain", func() {
--- a/internal/platform/httpplatform/vmlist.go
+++ b/internal/platform/httpplatform/vmlist.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 
+	"goldcresthinge.example/goldcresthinge/internal/call"
 	"goldcresthinge.example/goldcresthinge/internal/platform"
 	"goldcresthinge.example/goldcresthinge/internal/platform/wire"
 )
@@ -43,6 +44,9 @@
 		return nil, wrapError(platform.ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := call.CheckHeaderNames(resp.Header); err != nil {
+		return nil, wrapError(platform.ErrUnavailable, err)
+	}
 	switch resp.StatusCode {
 	case http.StatusNotModified:
 		return cached, nil
--- a/internal/sibling/client.go
+++ b/internal/sibling/client.go
@@ -153,12 +153,17 @@
 		ex.end(true) // no chunks follow an answer head that reports an error
 		return nil, e
 	}
-	if err := call.CheckStatus(int(head.GetStatus())); err != nil {
+	status, header := int(head.GetStatus()), headerFromProto(head.GetHeader())
+	err = call.CheckStatus(status)
+	if err == nil {
+		err = call.CheckHeaderNames(header)
+	}
+	if err != nil {
 		return fail(outcome.NewUnknown(outcome.ReasonBadAnswer, "sibling returned no valid answer: "+err.Error()))
 	}
 	return &call.Answer{
-		Status: int(head.GetStatus()),
-		Header: headerFromProto(head.GetHeader()),
+		Status: status,
+		Header: header,
 		Body:   &chunkReader{ex: ex},
 		Length: head.GetLength(),
 	}, nil
--- a/internal/sibling/forward_test.go
+++ b/internal/sibling/forward_test.go
@@ -135,6 +135,19 @@
 		Expect(outcome.FromError(err).Status).To(Equal(http.StatusBadGateway))
 	})
 
+	It("takes no answer with a name of a header that is no token", func() {
+		for _, name := range []string{"", "A name", "Content-Length ", "A\x01"} {
+			handler.forward = func(context.Context, *call.Call) (*call.Answer, error) {
+				answer := answerWith(strings.NewReader("body"), 4)
+				answer.Header = http.Header{name: {"x"}}
+				return answer, nil
+			}
+			_, err := forward(context.Background())
+			Expect(err).To(HaveOccurred(), "name %q", name)
+			Expect(outcome.FromError(err).Reason).To(Equal(outcome.ReasonBadAnswer))
+		}
+	})
+
 	// Guards against a truncated answer that looks complete at the receiver.
 	It("reports a body that ends early", func() {
 		handler.forward = func(context.Context, *call.Call) (*call.Answer, error) {
