holder: a load probe needs the whole answer

A holder took the load, the instance and the leaving of a target from an answer whose body ended early, lacked its last chunk or was reset, as long as a whole JSON value had arrived, and from one whose header had a name with a blank.

Cause: the JSON decoder reads one value and not the end of the body.

Change: the body is read to its end, and the names in the header are checked, before anything is used.

--- a/internal/holder/probe.go
+++ b/internal/holder/probe.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"goldcresthinge.example/goldcresthinge/internal/backend"
+	"goldcresthinge.example/goldcresthinge/internal/call"
 	"goldcresthinge.example/goldcresthinge/internal/inventory"
 	"goldcresthinge.example/goldcresthinge/internal/lease"
 	"goldcresthinge.example/goldcresthinge/internal/outcome"
@@ -103,7 +104,13 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var report loadReport
-	err = json.NewDecoder(io.LimitReader(resp.Body, probe.MaxBytes)).Decode(&report)
+	err = call.CheckHeaderNames(resp.Header)
+	if err == nil {
+		var body []byte
+		if body, err = io.ReadAll(io.LimitReader(resp.Body, probe.MaxBytes)); err == nil {
+			err = json.Unmarshal(body, &report)
+		}
+	}
 	result := pool.ProbeResult{
 		OK:       err == nil && resp.StatusCode == http.StatusOK,
 		Draining: report.State == "draining" || resp.Header.Get(outcome.HeaderLeaving) != "",
