front, gateway: a truncated answer does not look complete over HTTP/1.0

A caller of HTTP/1.0 took the part of an answer that it got before the server broke off for the whole one: 360448 bytes of a longer answer without a length at an entry VM, any such answer at a holder.

Cause: net/http sends an answer without a length to a caller of HTTP/1.0 until the end of the connection, and http.ErrAbortHandler closes the connection in order.

Change: the connection of such a caller is reset when its answer ends early.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -263,9 +263,7 @@
 	q.logEnd("answered", resp.Status, "", err)
 	cfg.Metrics.recordAnswer(q.priority, time.Since(q.arrived))
 	if err != nil {
-		// Closing the connection keeps the caller from taking a truncated
-		// response for a complete one.
-		panic(http.ErrAbortHandler)
+		q.abortAnswer()
 	}
 	if q.streamed {
 		q.finishBody(ctx, server, resp)
@@ -273,6 +271,17 @@
 	return true
 }
 
+// abortAnswer ends the connection of a caller that has got a part of an answer, so that it does not
+// take the part for the whole answer. It panics with http.ErrAbortHandler.
+func (q *request) abortAnswer() {
+	c, ok := q.r.Context().Value(connKey{}).(*Conn)
+	if ok && !q.r.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of an answer may be that of its connection.
+		c.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // finishBody goes on sending the body of the request to a server that has answered before
 // its end. What the server does not take is discarded. If the body does not end, finishBody
 // panics with http.ErrAbortHandler, which closes the connection, since what follows on it is not
--- a/internal/front/broken_answer_test.go
+++ b/internal/front/broken_answer_test.go
@@ -22,6 +22,11 @@
 // longUploadBytes is longer than the buffers of a connection to a server.
 const longUploadBytes = 16 << 20
 
+// longAnswerBytes is longer than what an entry VM reads of an answer before it sends the first byte.
+const longAnswerBytes = maxBufferedAnswer + 100_000
+
+var longChunk = fmt.Sprintf("%x\r\n%s\r\n", longAnswerBytes, strings.Repeat("x", longAnswerBytes))
+
 // newUploadEntry starts an entry VM that takes bodies of longUploadBytes, and returns its address.
 func newUploadEntry(backends *fakeServers) string {
 	routes := &atomic.Pointer[routing.Table]{}
@@ -156,3 +161,33 @@
 	Entry("blank after the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n"),
 	Entry("control byte in a name", "HTTP/1.1 200 OK\r\nA\x01b: x\r\n"),
 )
+
+// Guards against an answer that ends early and looks complete to a caller of HTTP/1.0, for which the
+// end of the connection is the end of an answer without a length.
+var _ = DescribeTable("a long answer to a caller of HTTP/1.0",
+	func(raw string, complete bool) {
+		backends := &fakeServers{runs: map[string]int{}}
+		address := strings.TrimPrefix(newEntry(backends).URL, "http://")
+		backends.addEarly("HTTP/1.1 200 OK\r\nId: r-1\r\nProof: p\r\n"+raw, func(*net.TCPConn) {})
+		for range 10 {
+			conn, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			_, _ = io.WriteString(conn, "GET /not-idempotent/ HTTP/1.0\r\nHost: 127.0.0.1\r\nId: r-1\r\nTimeout-Ms: 60000\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				Expect(complete).To(BeFalse(), "error %v", err)
+				continue
+			}
+			body, err := io.ReadAll(resp.Body)
+			Expect(err == nil).To(Equal(complete), "%d bytes, error %v", len(body), err)
+			if complete {
+				Expect(body).To(HaveLen(longAnswerBytes))
+			}
+		}
+	},
+	Entry("that is whole", "Transfer-Encoding: chunked\r\n\r\n"+longChunk+"0\r\n\r\n", true),
+	Entry("that is whole and has a length", fmt.Sprintf("Content-Length: %d\r\n\r\n", longAnswerBytes)+strings.Repeat("x", longAnswerBytes), true),
+	Entry("that lacks its last chunk", "Transfer-Encoding: chunked\r\n\r\n"+longChunk, false),
+	Entry("that ends before its declared end", fmt.Sprintf("Content-Length: %d\r\n\r\n", longAnswerBytes+1)+strings.Repeat("x", longAnswerBytes), false),
+)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -210,6 +210,7 @@
 		if q.server != "" {
 			q.endAtServer(time.Now(), fleet.Neutral)
 		}
+		q.abortAnswer()
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/front/linger.go
+++ b/internal/front/linger.go
@@ -59,6 +59,15 @@
 	return c.closeNowLocked()
 }
 
+// reset closes the connection at once and discards what has not been sent. The caller's next read
+// fails.
+func (c *Conn) reset() {
+	if s, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = s.SetLinger(0)
+	}
+	_ = c.closeNow()
+}
+
 func (c *Conn) closeNowLocked() error {
 	err := c.Conn.Close()
 	c.endInputLocked(net.ErrClosed)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	if c.NonIdempotent {
-		g.serveNonIdempotent(ctx, w, c, start)
+		g.serveNonIdempotent(ctx, w, r, c, start)
 		return
 	}
 	answer, err := g.Do(ctx, c)
@@ -146,7 +146,7 @@
 		g.refuse(w, c.Service, outcome.FromError(err), start)
 		return
 	}
-	g.reply(w, answer, start)
+	g.reply(w, r, answer, start)
 }
 
 // HandleCrossRegion runs a call that a VM of another region forwarded to this VM.
@@ -161,7 +161,7 @@
 // serveNonIdempotent claims the idempotency key of a call, runs the call, records
 // its outcome in the claim and replies to the caller. A call whose key is already
 // claimed is refused.
-func (g *Gateway) serveNonIdempotent(ctx context.Context, w http.ResponseWriter, c *call.Call, start time.Time) {
+func (g *Gateway) serveNonIdempotent(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call, start time.Time) {
 	claimer, refusal := g.claimerFor(g.cfg.Snapshot(), c.HomeRegions)
 	if refusal != nil {
 		g.refuse(w, c.Service, refusal, start)
@@ -186,7 +186,7 @@
 	if err := claimed.MarkDone(settleCtx, answer.Status); err != nil {
 		g.logClaimError("could not mark claim as done", err)
 	}
-	g.reply(w, answer, start)
+	g.reply(w, r, answer, start)
 }
 
 // doClaimed runs a call unless the permission of its claim has expired, which
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,9 +1,11 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -216,6 +218,27 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against the same for a caller to which the end of the connection is that of an answer
+	// without a length.
+	DescribeTable("tells a caller of HTTP/1.0 whether the answer is whole",
+		func(body io.Reader, complete bool) {
+			holders.results = []func() (*call.Answer, error){func() (*call.Answer, error) {
+				return &call.Answer{Status: 200, Header: http.Header{}, Body: io.NopCloser(body), Length: -1}, nil
+			}}
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			_, _ = io.WriteString(conn, "GET /read HTTP/1.0\r\nHost: h\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			Expect(err == nil).To(Equal(complete), "error %v", err)
+		},
+		Entry("whole", strings.NewReader(strings.Repeat("x", 100_000)), true),
+		Entry("a part", truncatedReader{strings.NewReader(strings.Repeat("x", 100_000))}, false),
+	)
+
 	It("asks another holder after a refusal that says not run", func() {
 		holders.results = []func() (*call.Answer, error){failWith(outcome.NewUnavailable(outcome.ReasonNotHolder, 0)), answerWith("whole")}
 		expectOutcome(request("GET", "/read", ""), 200, outcome.Answered, "")
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -21,9 +21,8 @@
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
 // reply copies an answer to the caller and closes its body. If the answer ends
-// early, reply panics with http.ErrAbortHandler, which aborts the connection: the
-// caller then cannot take the truncated answer for complete.
-func (g *Gateway) reply(w http.ResponseWriter, a *call.Answer, start time.Time) {
+// early, reply panics with http.ErrAbortHandler.
+func (g *Gateway) reply(w http.ResponseWriter, r *http.Request, a *call.Answer, start time.Time) {
 	defer func() { _ = a.Body.Close() }()
 	call.RemoveHopByHop(a.Header)
 	h := w.Header()
@@ -43,12 +42,27 @@
 	if err != nil {
 		g.metrics.outcome(outcome.Unknown).Inc(1)
 		_ = level.Info(g.log).Log("msg", "answer ended early, connection to the caller aborted", "err", err)
-		panic(http.ErrAbortHandler)
+		abortAnswer(w, r)
 	}
 	g.metrics.answered.Inc(1)
 	g.metrics.latency.Record(g.now().Sub(start))
 }
 
+// abortAnswer ends the connection of a caller that has got a part of an answer, so that it does not
+// take the part for the whole answer. It panics with http.ErrAbortHandler.
+func abortAnswer(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of an answer may be that of its connection.
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if s, ok := c.(interface{ SetLinger(sec int) error }); ok {
+				_ = s.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // refuse replies without the answer of a target, see Refusal, and records it in the
 // recent refusals and the metrics. Details of server errors are not sent to the
 // caller.
