--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -35,7 +35,7 @@
 
 // newEndlessServer starts a server that answers a request with head and then with part
 // again and again until the client closes the connection. Each close is sent to closed.
-func newEndlessServer(t *testing.T, head, part string) (s fleet.Server, closed <-chan struct{}) {
+func newEndlessServer(t testing.TB, head, part string) (s fleet.Server, closed <-chan struct{}) {
 	t.Helper()
 	ends := make(chan struct{}, 16)
 	address := listenRaw(t, func(c net.Conn) {
--- a/internal/backend/invalid_head_test.go
+++ b/internal/backend/invalid_head_test.go
@@ -9,6 +9,8 @@
 	"maps"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,4 +126,36 @@
 			Expect(outcome.FromError(err).Kind).To(Equal(outcome.Unknown), name)
 		}
 	})
+
+	// Guards against a VM that runs out of memory because a target sends bytes without end.
+	It("reads a limited number of bytes that are no answer, or that nobody reads", func() {
+		for name, raw := range map[string][2]string{
+			"status line":             {"", "x"},
+			"one header line":         {"HTTP/1.1 200 OK\r\nA: ", "x"},
+			"short headers":           {"HTTP/1.1 200 OK\r\n", "a:b\r\n"},
+			"empty lines":             {"", "\r\n"},
+			"informational responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+			"body":                    {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+			"chunks":                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+			"chunk extension":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+			"trailer":                 {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a:b\r\n"},
+		} {
+			block := strings.Repeat(raw[1], 1+1000/len(raw[1]))
+			s, closed := newEndlessServer(GinkgoTB(), raw[0], block)
+			read := &atomic.Int64{}
+			sender := backend.NewSender(func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return countingConn{c, read}, err
+			})
+			DeferCleanup(sender.Close)
+			answer, err := sender.Send(GinkgoT().Context(), inventory.Target{Address: s.Address}, 10, newPost("one"), allow)
+			if err == nil {
+				_, _ = answer.Body.Read(make([]byte, 1))
+				time.Sleep(20 * time.Millisecond)
+				_ = answer.Body.Close()
+			}
+			Eventually(closed).Should(Receive(), name)
+			Expect(read.Load()).To(BeNumerically("<=", maxBytesPerRequest), name)
+		}
+	})
 })
--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -1,4 +1,4 @@
-// Package hostile tests entry VMs with callers that keep to no limits. Each test starts one
+// Package hostile tests entry VMs with callers and servers that keep to no limits. Each test starts one
 // process of the daemon and checks what does not depend on the speed of the machine: that the
 // process lives, stays within its memory and descriptors, and answers an ordinary request
 // afterwards.
@@ -67,44 +67,46 @@
 	connections int
 	// act uses one connection until it fails or the crowd leaves, at which c is closed.
 	act func(c net.Conn, i int)
+	// endless are the indices of endlessAnswers that the connections have to get.
+	endless []int
 }
 
 var crowds = []crowd{
-	{"legal heads of short lines", 300, func(c net.Conn, _ int) {
+	{name: "legal heads of short lines", connections: 300, act: func(c net.Conn, _ int) {
 		send(c, legalHeads["short lines"])
 	}},
-	{"legal heads of lines without a value", 300, func(c net.Conn, _ int) {
+	{name: "legal heads of lines without a value", connections: 300, act: func(c net.Conn, _ int) {
 		send(c, legalHeads["lines without a value"])
 	}},
-	{"legal heads with spaces", 300, func(c net.Conn, _ int) {
+	{name: "legal heads with spaces", connections: 300, act: func(c net.Conn, _ int) {
 		send(c, legalHeads["spaces"])
 	}},
-	{"legal heads with folded lines", 300, func(c net.Conn, _ int) {
+	{name: "legal heads with folded lines", connections: 300, act: func(c net.Conn, _ int) {
 		send(c, legalHeads["folded lines"])
 	}},
-	{"legal heads with one name in all lines", 300, func(c net.Conn, _ int) {
+	{name: "legal heads with one name in all lines", connections: 300, act: func(c net.Conn, _ int) {
 		send(c, legalHeads["one name in all lines"])
 	}},
-	{"legal heads with bytes over 127", 300, func(c net.Conn, _ int) {
+	{name: "legal heads with bytes over 127", connections: 300, act: func(c net.Conn, _ int) {
 		send(c, legalHeads["bytes over 127"])
 	}},
-	{"heads over the limit", 60, func(c net.Conn, _ int) {
+	{name: "heads over the limit", connections: 60, act: func(c net.Conn, _ int) {
 		send(c, requestLine+strings.Repeat("aaaa:\r\n", 900<<10/7)+emptyBody)
 	}},
-	{"heads over the limit, without an end of the last line", 60, func(c net.Conn, _ int) {
+	{name: "heads over the limit, without an end of the last line", connections: 60, act: func(c net.Conn, _ int) {
 		send(c, requestLine+"a: "+strings.Repeat("a", 900<<10))
 	}},
-	{"heads without end", 60, func(c net.Conn, _ int) {
+	{name: "heads without end", connections: 60, act: func(c net.Conn, _ int) {
 		sendEndless(c, requestLine, "aaaa:\r\n")
 	}},
-	{"heads of distinct lines, never ended", 60, func(c net.Conn, _ int) {
+	{name: "heads of distinct lines, never ended", connections: 60, act: func(c net.Conn, _ int) {
 		var lines strings.Builder
 		for i := 0; lines.Len() < 900<<10; i++ {
 			lines.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
 		}
 		send(c, requestLine+lines.String())
 	}},
-	{"heads byte by byte", 300, func(c net.Conn, _ int) {
+	{name: "heads byte by byte", connections: 300, act: func(c net.Conn, _ int) {
 		for i := 0; ; i++ {
 			const text = "\r\na:"
 			if _, err := c.Write([]byte{(requestLine + text)[min(i, len(requestLine)+i%len(text))]}); err != nil {
@@ -113,29 +115,67 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 	}},
-	{"empty lines before a request", 60, func(c net.Conn, _ int) { sendEndless(c, "", "\r\n") }},
-	{"chunk extensions without end", 60, func(c net.Conn, _ int) {
+	{name: "empty lines before a request", connections: 60, act: func(c net.Conn, _ int) { sendEndless(c, "", "\r\n") }},
+	{name: "chunk extensions without end", connections: 60, act: func(c net.Conn, _ int) {
 		sendEndless(c, requestLine+"Transfer-Encoding: chunked\r\n\r\n1", ";a=b")
 	}},
-	{"chunks of one byte with long extensions", 60, func(c net.Conn, _ int) {
+	{name: "chunks of one byte with long extensions", connections: 60, act: func(c net.Conn, _ int) {
 		sendEndless(c, requestLine+"Transfer-Encoding: chunked\r\n\r\n", "1;"+strings.Repeat("a", 2000)+"\r\nx\r\n")
 	}},
-	{"trailers without end", 60, func(c net.Conn, _ int) {
+	{name: "trailers without end", connections: 60, act: func(c net.Conn, _ int) {
 		sendEndless(c, requestLine+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "aaaa:\r\n")
 	}},
-	{"bodies that stop", 300, func(c net.Conn, _ int) {
+	{name: "bodies that stop", connections: 300, act: func(c net.Conn, _ int) {
 		send(c, requestLine+"Content-Length: 1000000\r\n\r\n"+strings.Repeat("x", 300<<10))
 	}},
-	{"pipelined requests whose answers nobody reads", 60, func(c net.Conn, _ int) {
+	{name: "pipelined requests whose answers nobody reads", connections: 60, act: func(c net.Conn, _ int) {
 		sendEndless(c, "", "GET /"+quickService+"/"+strings.Repeat("x", 1000)+" HTTP/1.1\r\nHost: "+platformtest.Host+"\r\n\r\n")
 	}},
-	{"pipelined heads of short lines behind a slow request", 300, func(c net.Conn, _ int) {
+	{name: "pipelined heads of short lines behind a slow request", connections: 300, act: func(c net.Conn, _ int) {
 		sendEndless(c, "", legalHeads["short lines"])
 	}},
-	{"connections that send nothing", 700, func(c net.Conn, _ int) { _, _ = io.Copy(io.Discard, c) }},
-	{"answers with headers of short lines", 300, func(c net.Conn, i int) {
+	{name: "connections that send nothing", connections: 700, act: func(c net.Conn, _ int) { _, _ = io.Copy(io.Discard, c) }},
+	{name: "answers with headers of short lines", connections: 300, act: func(c net.Conn, i int) {
 		send(c, fmt.Sprintf("GET /%s/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: r-%d\r\n\r\n", wordyService, platformtest.Host, i))
 	}},
+	{name: "answers without end", connections: 150, act: func(c net.Conn, i int) {
+		r := bufio.NewReader(c)
+		// A body without end takes all of the time, and other answers end at once.
+		for ; ; i++ {
+			_, _ = io.WriteString(c, endlessRequest(i))
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return
+			}
+			_ = resp.Body.Close()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}, endless: []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}},
+	{name: "bodies without end that nobody reads", connections: 150, act: func(c net.Conn, i int) {
+		r := bufio.NewReader(c)
+		for {
+			_, _ = io.WriteString(c, endlessRequest(firstEndlessBody+i%endlessBodies))
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return
+			}
+			if resp.StatusCode == http.StatusOK {
+				time.Sleep(crowdTime)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}, endless: []int{5, 6, 7}},
+}
+
+// endlessRequest returns a request that is answered with the i-th of endlessAnswers.
+func endlessRequest(i int) string {
+	return fmt.Sprintf("GET /%s/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: r-%d\r\n\r\n", endlessService, i, platformtest.Host, i)
 }
 
 // legalHeads are requests whose heads stay within max_header_bytes.
@@ -181,8 +221,8 @@
 	}
 }
 
-// Guards against callers that make a process use up its memory or descriptors, or that keep it
-// from answering others.
+// Guards against callers and servers that make a process use up its memory or descriptors, or that
+// keep it from answering others.
 func TestCrowds(t *testing.T) {
 	for _, cr := range crowds {
 		t.Run(cr.name, func(t *testing.T) {
@@ -197,6 +237,11 @@
 			cr.visit(t, v.addresses["callers"])
 			during.Wait()
 			v.checkBounds(t)
+			for _, i := range cr.endless {
+				if v.endless[i].Load() == 0 {
+					t.Errorf("no server has sent the answer without end %q", endlessAnswers[i])
+				}
+			}
 		})
 	}
 }
--- a/internal/hostile/process_test.go
+++ b/internal/hostile/process_test.go
@@ -37,11 +37,11 @@
 	routeTimeoutMs  = 10000
 )
 
-// Services. Their servers take slowServiceTime, no time, and answer with a header of
-// many short lines.
+// Services. Their servers take slowServiceTime, no time, answer with a header of many short lines,
+// and send answers without end.
 const (
-	slowService, quickService, wordyService = "slow", "quick", "wordy"
-	slowServiceTime                         = 4 * time.Second
+	slowService, quickService, wordyService, endlessService = "slow", "quick", "wordy", "endless"
+	slowServiceTime                                         = 4 * time.Second
 	// serverSlots is more than the requests of any crowd, so that all of them are held at once.
 	serverSlots = 500
 )
@@ -53,6 +53,9 @@
 	addresses map[string]string
 	ended     chan struct{} // closed when the process has ended
 
+	// endless counts the requests that were answered with each of endlessAnswers.
+	endless [len(endlessAnswers)]atomic.Int32
+
 	mu             sync.Mutex
 	maxDescriptors int // largest number of open descriptors seen
 }
@@ -65,7 +68,7 @@
 	}
 	var routes []platformtest.Route
 	var services []platformtest.Service
-	for _, s := range []string{slowService, quickService, wordyService} {
+	for _, s := range []string{slowService, quickService, wordyService, endlessService} {
 		routes = append(routes, platformtest.Route{Name: s, Prefix: "/" + s + "/", Service: s, Idempotent: true, MaxAttempts: 1, TimeoutMs: routeTimeoutMs})
 		services = append(services, platformtest.Service{Name: s, ColdPerS: 10000, Connections: serverSlots})
 	}
@@ -73,13 +76,16 @@
 	startServer(t, store, slowService, slowServiceTime)
 	startServer(t, store, quickService, 0)
 	startWordyServer(t, store)
+	v := &vm{addresses: map[string]string{}, ended: make(chan struct{}), output: &bytes.Buffer{}}
+	for i := range 5 {
+		v.startEndlessServer(t, store, fmt.Sprintf("%s-%d", endlessService, i+1), i == 0)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(t, err)
 	storeServer := &http.Server{Handler: store.Client(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = storeServer.Serve(l) }()
 	t.Cleanup(func() { _ = storeServer.Close() })
 
-	v := &vm{addresses: map[string]string{}, ended: make(chan struct{}), output: &bytes.Buffer{}}
 	for _, name := range []string{"callers", "ready", "siblings", "metrics"} {
 		v.addresses[name], err = freeport.Address()
 		check(t, err)
@@ -132,12 +138,64 @@
 	for i := 0; lines.Len() < 30<<10; i++ {
 		fmt.Fprintf(&lines, "%s:\r\n", strconv.FormatInt(int64(i), 36))
 	}
-	s := &platformtest.Server{ID: wordyService + "-1", Service: wordyService, FailureDomain: "a", Slots: serverSlots}
+	startRawServer(t, store, wordyService, wordyService+"-1", false, func(conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%sContent-Length: 1\r\n\r\n", answerHeader(r), lines.String())
+		time.Sleep(slowServiceTime)
+		_, _ = io.WriteString(conn, "x")
+	})
+}
+
+// answerHeader returns the header lines by which a VM knows the answer of a server.
+func answerHeader(r *http.Request) string {
+	return fmt.Sprintf("%s: %s\r\n%s: x\r\n", platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderStamp)
+}
+
+// endlessAnswers are answers that go on with the second text again and again. HEADER stands for
+// answerHeader.
+var endlessAnswers = [...][2]string{
+	{"", "x"},
+	{"HTTP/1.1 200 OK\r\nX: ", "x"},
+	{"HTTP/1.1 200 OK\r\nHEADER", "a:b\r\n"},
+	{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	{"", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx"},
+	{"HTTP/1.1 200 OK\r\nHEADER\r\n", "x"},
+	{"HTTP/1.1 200 OK\r\nHEADERContent-Length: 1000000000000\r\n\r\n", "x"},
+	{"HTTP/1.1 200 OK\r\nHEADERTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+	{"HTTP/1.1 200 OK\r\nHEADERTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	{"HTTP/1.1 200 OK\r\nHEADERTransfer-Encoding: chunked\r\n\r\n0\r\n", "a:b\r\n"},
+}
+
+// Three of endlessAnswers have a body without end that can be passed on.
+const firstEndlessBody, endlessBodies = 5, 3
+
+// startEndlessServer starts a server that sends the answer of endlessAnswers whose index ends the
+// path until the VM closes the connection. If unhealthy is set, its health checks have no end either.
+func (v *vm) startEndlessServer(t *testing.T, store *platformtest.Store, id string, unhealthy bool) {
+	t.Helper()
+	startRawServer(t, store, endlessService, id, unhealthy, func(conn net.Conn, r *http.Request) {
+		number, err := strconv.Atoi(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
+		i := number % len(endlessAnswers)
+		if err == nil {
+			v.endless[i].Add(1)
+		}
+		answer := endlessAnswers[i]
+		block := strings.Repeat(answer[1], 1+16<<10/len(answer[1]))
+		_, err = io.WriteString(conn, strings.ReplaceAll(answer[0], "HEADER", answerHeader(r)))
+		for err == nil {
+			_, err = io.WriteString(conn, block)
+		}
+	})
+}
+
+// startRawServer starts a server that answers with the bytes that answer writes. Its health checks
+// get a proper answer unless rawHealth is set.
+func startRawServer(t *testing.T, store *platformtest.Store, service, id string, rawHealth bool, answer func(net.Conn, *http.Request)) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(t, err)
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == platformtest.HealthPath {
-			w.Header().Set(platform.HeaderInstance, s.ID)
+		if r.URL.Path == platformtest.HealthPath && !rawHealth {
+			w.Header().Set(platform.HeaderInstance, id)
 			w.Header().Set(platform.HeaderLoad, fmt.Sprintf("0,0,%d,100", serverSlots))
 			return
 		}
@@ -146,16 +204,13 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\n%sContent-Length: 1\r\n\r\n", platform.HeaderRequestID,
-			r.Header.Get(platform.HeaderRequestID), platform.HeaderStamp, lines.String())
-		time.Sleep(slowServiceTime)
-		_, _ = io.WriteString(conn, "x")
+		answer(conn, r)
 	})}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	check(t, store.Put(platform.TableServers, s.ID, map[string]any{
+	check(t, store.Put(platform.TableServers, id, map[string]any{
 		"address": l.Addr().String(), "born": time.Now().UnixMilli(),
-		"info":   map[string]any{"service": s.Service, "zone": s.FailureDomain, "slots": s.Slots},
+		"info":   map[string]any{"service": service, "zone": "a", "slots": serverSlots},
 		"status": map[string]any{"state": "ready", "warmup_left_ms": 0},
 	}))
 }
@@ -276,7 +331,7 @@
 	descriptors := v.maxDescriptors
 	v.mu.Unlock()
 	peak := v.peakMemory(t)
-	t.Logf("peak memory %d MB, at most %d descriptors", peak>>20, descriptors)
+	t.Logf("peak memory %d MB, at most %d descriptors, endless answers by index %v", peak>>20, descriptors, v.endlessCounts())
 	if peak > memoryMB<<20 {
 		t.Errorf("peak memory %d MB, want at most %d MB", peak>>20, memoryMB)
 	}
@@ -284,3 +339,12 @@
 		t.Errorf("%d open descriptors, want at most %d", descriptors, maxDescriptors-fileDescriptors)
 	}
 }
+
+// endlessCounts returns the values of v.endless.
+func (v *vm) endlessCounts() []int32 {
+	var counts []int32
+	for i := range v.endless {
+		counts = append(counts, v.endless[i].Load())
+	}
+	return counts
+}
