front, entry: a planned stop breaks off no late request

A request that arrived late in a planned stop could be passed on and answered 504 at the end of the stop, while its server was at work. If it must not be repeated, its caller cannot know what became of it.

Cause: a late request was passed on if twice its usual service time was left, but a server may take longer. A request that had waited for a server was not checked again.

Change: from 2.8 s after the start of a stop, when callers no longer connect, a request whose deadline is after the end of the stop gets 503 with Retry-After. The estimate for earlier ones is checked again when they get a server. The front takes both times of the stop in place of its end.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -98,7 +98,7 @@
 	cancel            context.CancelFunc
 	requestsCtx       context.Context // that of all requests of callers; ends shortly before a planned stop does
 	endRequests       context.CancelFunc
-	requestsEnd       atomic.Pointer[time.Time] // time at which a planned stop calls endRequests; nil before one
+	plannedStop       atomic.Pointer[front.PlannedStop] // at its End, endRequests is called; nil before a planned stop
 	loops             sync.WaitGroup
 	draining          atomic.Bool // Drain was called, as on SIGTERM
 	disableKeepAlives atomic.Bool // callers' connections close after the response in progress
@@ -251,7 +251,7 @@
 		HeaderCodec: platform.HeaderCodec{}, Routes: e.state.routes.Load, ConfigurationAge: e.state.configurationAge, KeyLimits: e.keyLimits, UsageLimiter: e.usage, Servers: source, Queue: e.queue, ConnPool: e.pool,
 		ServiceTimes: front.NewServiceTimeEstimator(), AttemptAges: attemptage.New(), Demand: e.planning, RetryBudget: retry.NewWindowBudget(), RetryLimits: e.retryLimits,
 		VMCount: func() int { return len(e.state.VMs()) }, DisableKeepAlives: e.disableKeepAlives.Load,
-		Ledger: e.ledger, Stop: e.requestsCtx, StopsAt: e.requestsEndAt, OnAttempt: e.rollouts.recordAttempt, Metrics: frontMetrics, Logger: logger,
+		Ledger: e.ledger, Stop: e.requestsCtx, PlannedStop: e.plannedStopTimes, OnAttempt: e.rollouts.recordAttempt, Metrics: frontMetrics, Logger: logger,
 	})
 	e.callerListener = front.NewLimitedListener(e.listeners.callers, front.ListenerConfig{
 		Timeouts: e.callerTimeouts, HeadLimits: e.headLimits, Ledger: e.ledger, Metrics: frontMetrics, Logger: logger,
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -17,6 +17,9 @@
 	// platform sends no new connections: two checks that are one second apart,
 	// and one check in flight.
 	readinessPropagationDelay = 2300 * time.Millisecond
+	// lateRequestDelay is the time from the start of a planned stop from which requests
+	// arrive only on connections that callers have opened before.
+	lateRequestDelay = readinessPropagationDelay + 500*time.Millisecond
 	// stopMargin is the part of the platform's grace period that is left
 	// between the end of this process and the kill.
 	stopMargin = 400 * time.Millisecond
@@ -72,7 +75,7 @@
 	defer cancel()
 	_ = level.Info(e.log).Log("msg", "planned stop started", "grace_ms", grace.Milliseconds())
 	requestsEnd := started.Add(grace - answerMargin)
-	e.requestsEnd.Store(&requestsEnd)
+	e.plannedStop.Store(&front.PlannedStop{LateFrom: started.Add(lateRequestDelay), End: requestsEnd})
 	e.disableKeepAlives.Store(true)
 	e.unregister(ctx)
 	select {
@@ -97,13 +100,12 @@
 	close(e.stopped)
 }
 
-// requestsEndAt returns the time at which a planned stop ends the requests of callers, or zero if
-// none has begun.
-func (e *Entry) requestsEndAt() time.Time {
-	if end := e.requestsEnd.Load(); end != nil {
-		return *end
+// plannedStopTimes returns the times of a planned stop, or the zero value if none has begun.
+func (e *Entry) plannedStopTimes() front.PlannedStop {
+	if s := e.plannedStop.Load(); s != nil {
+		return *s
 	}
-	return time.Time{}
+	return front.PlannedStop{}
 }
 
 // closeBackground closes the connections to siblings and backend servers and
--- a/internal/front/finish.go
+++ b/internal/front/finish.go
@@ -30,11 +30,7 @@
 	case q.h.cfg.Stop.Err() != nil:
 		// The context of the request may have ended too: the stop lets a read of the body fail,
 		// which net/http takes for a closed connection.
-		if sent {
-			q.finish(http.StatusGatewayTimeout, reasonStopping, 0)
-			return
-		}
-		q.refuse(reasonStopping)
+		q.endForStop(sent)
 	case errors.Is(ctx.Err(), context.Canceled):
 		q.logEnd("caller-left", 0, "", nil)
 		q.h.cfg.Metrics.recordUnanswered("caller-left")
@@ -46,6 +42,15 @@
 	}
 }
 
+// endForStop ends a request because the VM stops. sent tells whether a server may have run it.
+func (q *request) endForStop(sent bool) {
+	if sent {
+		q.finish(http.StatusGatewayTimeout, reasonStopping, 0)
+		return
+	}
+	q.refuse(reasonStopping)
+}
+
 // refuse ends a request that no server has run or will run. The caller is told
 // when to retry.
 func (q *request) refuse(reason string) {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -112,9 +112,9 @@
 	// Stop ends the requests in progress when it ends: with a refusal as not run those that
 	// no server has received, and as timed out the others.
 	Stop context.Context //nolint:containedctx // that of the process, not of a request
-	// StopsAt returns the time at which a planned stop that has begun ends Stop, or zero.
-	// Requests that are not expected to end before are refused as not run.
-	StopsAt func() time.Time
+	// PlannedStop returns the times of a planned stop that has begun, or the zero value. Requests
+	// that are not expected to end before it are refused as not run.
+	PlannedStop func() PlannedStop
 	// OnAttempt is called at the end of each attempt that may have reached its server. It is
 	// optional. Calls may be concurrent.
 	OnAttempt func(Attempt)
@@ -122,6 +122,14 @@
 	Logger    log.Logger
 }
 
+// PlannedStop holds the times of a planned stop.
+type PlannedStop struct {
+	// LateFrom is the time from which few requests arrive, since callers no longer connect to the
+	// VM. A request that arrives later is passed on only if its own deadline is before End.
+	LateFrom time.Time
+	End      time.Time // time at which Config.Stop ends; zero if no stop has begun
+}
+
 // Attempt is an attempt of a request at a backend server.
 type Attempt struct {
 	Server, Service, Route string
@@ -240,6 +248,11 @@
 			q.endForKey(reason)
 			return
 		}
+		if !q.endsBeforeStop(time.Now()) {
+			q.endAtServer(time.Now(), fleet.Neutral)
+			q.endForStop(q.mayHaveRun)
+			return
+		}
 		if done := q.attempt(ctx, grant.Server); done {
 			return
 		}
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -119,14 +119,16 @@
 	results []fleet.Result
 	blocked atomic.Bool     // requests wait for a server
 	stop    context.Context // see front.Config.Stop; nil: never ends
-	// draining is the result of front.Config.DisableKeepAlives, and stopsAt that of
-	// front.Config.StopsAt.
-	draining atomic.Bool
-	stopsAt  atomic.Pointer[time.Time]
+	// draining is the result of front.Config.DisableKeepAlives, and plannedStop that of
+	// front.Config.PlannedStop.
+	draining    atomic.Bool
+	plannedStop atomic.Pointer[front.PlannedStop]
 	// configAge is the result of front.Config.ConfigurationAge in nanoseconds.
 	configAge atomic.Int64
 	// candidateCalls is the number of calls of Candidates.
 	candidateCalls atomic.Int32
+	// onCandidates is called by Candidates, before the decision. Nil: nothing.
+	onCandidates func()
 	// onServer is called by Server, after the decision to send a request. Nil: nothing.
 	onServer func()
 	log      logBuffer
@@ -145,6 +147,9 @@
 
 func (s *fakeServers) Candidates(_ time.Time, a *waitqueue.AcquireRequest) []placement.Candidate {
 	s.candidateCalls.Add(1)
+	if s.onCandidates != nil {
+		s.onCandidates()
+	}
 	var out []placement.Candidate
 	for i, server := range s.list {
 		tried := false
@@ -275,11 +280,11 @@
 		RetryLimits:       func() retry.WindowLimits { return retry.WindowLimits{Ratio: 0.2, Slack: 100, Window: time.Minute} },
 		VMCount:           func() int { return 1 },
 		DisableKeepAlives: backends.draining.Load, Ledger: capacity.New(capacity.Limits{BodyBytes: 1 << 20}), Stop: stop,
-		StopsAt: func() time.Time {
-			if end := backends.stopsAt.Load(); end != nil {
-				return *end
+		PlannedStop: func() front.PlannedStop {
+			if stop := backends.plannedStop.Load(); stop != nil {
+				return *stop
 			}
-			return time.Time{}
+			return front.PlannedStop{}
 		},
 		Metrics: front.NewMetrics(tally.NoopScope), Logger: log.NewLogfmtLogger(&backends.log),
 	}
--- a/internal/front/pipelined_stop_test.go
+++ b/internal/front/pipelined_stop_test.go
@@ -43,6 +43,7 @@
 
 const (
 	stopReadinessDelay = 200 * time.Millisecond
+	stopLateDelay      = 2800 * time.Millisecond
 	stopGracePeriod    = 8 * time.Second
 	stopAnswerMargin   = 250 * time.Millisecond
 )
@@ -119,7 +120,7 @@
 // startStop begins the planned stop and returns.
 func (s *stopTest) startStop() {
 	requestsEnd := time.Now().Add(stopGracePeriod - stopAnswerMargin)
-	s.servers.stopsAt.Store(&requestsEnd)
+	s.servers.plannedStop.Store(&front.PlannedStop{LateFrom: time.Now().Add(stopLateDelay), End: requestsEnd})
 	s.servers.draining.Store(true)
 	go func() {
 		defer close(s.stopped)
--- a/internal/front/prepare.go
+++ b/internal/front/prepare.go
@@ -20,8 +20,8 @@
 const reasonStopping = "stopping"
 
 // stopServiceTimes is the number of usual service times that have to be left before the end of a
-// planned stop when a request arrives whose deadline is later. Service times vary, and a server may
-// be slower than usual.
+// planned stop for a request whose deadline is later. Service times vary, and a server may be slower
+// than usual.
 const stopServiceTimes = 2
 
 // bodyReadMargin is the time from the deadline of a request until reading its body fails.
@@ -76,7 +76,7 @@
 	} else {
 		q.softDeadline = q.softDeadline.Add(-q.attemptAge(stated))
 	}
-	if !q.endsBeforeStop() {
+	if !q.endsBeforeStop(q.arrived) {
 		return http.StatusServiceUnavailable, reasonStopping
 	}
 	if status, reason := q.admit(); status != 0 {
@@ -94,14 +94,20 @@
 	return ages.Age(q.route.Name, stated)
 }
 
-// endsBeforeStop reports whether the request can be expected to end before a planned stop breaks
-// it off. Callers have other VMs to send it to, as long as no server has it.
-func (q *request) endsBeforeStop() bool {
-	end := q.h.cfg.StopsAt()
-	if end.IsZero() || !q.deadline.After(end) {
+// endsBeforeStop reports whether the request, if it is sent at now, can be expected to end before a
+// planned stop breaks it off. Callers have other VMs to send it to, as long as no server has it.
+func (q *request) endsBeforeStop(now time.Time) bool {
+	stop := q.h.cfg.PlannedStop()
+	switch {
+	case stop.End.IsZero(), !q.deadline.After(stop.End):
 		return true
+	case !q.arrived.Before(stop.LateFrom):
+		// A server may take longer than usual, and what became of a request that was broken off is
+		// not known.
+		return false
+	default:
+		return !now.Add(stopServiceTimes * q.h.cfg.ServiceTimes.Estimate(q.route)).After(stop.End)
 	}
-	return !q.arrived.Add(stopServiceTimes * q.h.cfg.ServiceTimes.Estimate(q.route)).After(end)
 }
 
 func headerBytes(r *http.Request) int {
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -10,12 +10,16 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/front"
 )
 
 var _ = Describe("a request during a planned stop", func() {
 	var (
 		backends *fakeServers
 		entry    *httptest.Server
+		reason   string // body of the latest answer
 	)
 	BeforeEach(func() {
 		backends = &fakeServers{runs: map[string]int{}}
@@ -29,7 +33,10 @@
 		req.Header.Set("Timeout-Ms", "60000")
 		resp, err := http.DefaultClient.Do(req)
 		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
 		Expect(resp.Body.Close()).To(Succeed())
+		reason = string(body)
 		return resp
 	}
 
@@ -60,8 +67,7 @@
 		func(left time.Duration, wantStatus int) {
 			backends.add(ok)
 			backends.draining.Store(true)
-			end := time.Now().Add(left)
-			backends.stopsAt.Store(&end)
+			backends.plannedStop.Store(&front.PlannedStop{LateFrom: time.Now().Add(time.Minute), End: time.Now().Add(left)})
 			resp := post("/not-idempotent/a")
 			Expect(resp.StatusCode).To(Equal(wantStatus))
 			Expect(resp.Close).To(BeTrue())
@@ -74,4 +80,55 @@
 		Entry("after the stop was due", -time.Second, http.StatusServiceUnavailable),
 		Entry("but not for this one", time.Minute/2, http.StatusOK),
 	)
+
+	// Guards against a request that arrives late in a stop, takes longer than usual at its server, and
+	// is broken off.
+	DescribeTable("arriving late is passed on only if its deadline is before the end of the stop",
+		func(path string, left time.Duration, wantStatus int) {
+			backends.add(ok)
+			backends.draining.Store(true)
+			backends.plannedStop.Store(&front.PlannedStop{LateFrom: time.Now(), End: time.Now().Add(left)})
+			resp := post(path)
+			Expect(resp.StatusCode).To(Equal(wantStatus))
+			Expect(resp.Close).To(BeTrue())
+			if wantStatus == http.StatusServiceUnavailable {
+				Expect(reason).To(Equal("stopping\n"))
+				Expect(backends.runCounts()).To(BeEmpty())
+				Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		},
+		Entry("not idempotent, deadline after the end", "/not-idempotent/a", 30*time.Second, http.StatusServiceUnavailable),
+		Entry("idempotent, deadline after the end", "/idempotent/a", 30*time.Second, http.StatusServiceUnavailable),
+		Entry("not idempotent, deadline before the end", "/not-idempotent/a", 2*time.Minute, http.StatusOK),
+		Entry("idempotent, deadline before the end", "/idempotent/a", 2*time.Minute, http.StatusOK),
+		Entry("deadline of the route before the end", "/short/a", 30*time.Second, http.StatusOK),
+	)
+
+	// Guards against a request that has waited for a server until the stop is about to break it off.
+	It("is refused as not run if it gets a server too late", func() {
+		backends.add(ok)
+		backends.onCandidates = func() {
+			backends.plannedStop.Store(&front.PlannedStop{LateFrom: time.Now().Add(time.Minute), End: time.Now().Add(200 * time.Millisecond)})
+		}
+		resp := post("/not-idempotent/a")
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(reason).To(Equal("stopping\n"))
+		Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(backends.runCounts()).To(BeEmpty())
+		Expect(backends.lastResults()).To(Equal([]fleet.Result{fleet.Neutral}))
+	})
+
+	// Guards against a refusal that says that a request did not run although a server may have run
+	// it before.
+	It("is not refused as not run if it gets another server too late", func() {
+		backends.add(func(http.ResponseWriter, *http.Request) {
+			backends.plannedStop.Store(&front.PlannedStop{LateFrom: time.Now().Add(time.Minute), End: time.Now().Add(200 * time.Millisecond)})
+			panic(http.ErrAbortHandler)
+		})
+		backends.add(ok)
+		resp := post("/idempotent/a")
+		Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(reason).To(Equal("stopping\n"))
+		Expect(backends.runCounts()).To(Equal(map[string]int{"s-1": 1}))
+	})
 })
