front: an attempt is recorded only at the server that got the request

If a request that had been sent once got another server and was then refused, because its key was no longer valid or the VM was stopping, a second attempt with the time of the first was recorded at a server that had not got it. Roll-outs judge versions by these records.

Cause: the time of the latest attempt was kept until the next one began.

Result: "is not refused as not run if it gets another server too late" failed before with the added check.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -242,7 +242,7 @@
 			q.refuse(string(grant.Reason))
 			return
 		}
-		q.server = grant.Server
+		q.server, q.sentAt = grant.Server, time.Time{}
 		if reason := q.keyRefusal(); reason != "" {
 			q.endAtServer(time.Now(), fleet.Neutral)
 			q.endForKey(reason)
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,6 +14,7 @@
 
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/front"
+	"goldcresthinge.example/goldcresthinge/internal/routing"
 )
 
 var _ = Describe("a request during a planned stop", func() {
@@ -119,8 +121,14 @@
 	})
 
 	// Guards against a refusal that says that a request did not run although a server may have run
-	// it before.
+	// it before, and against an attempt recorded at the server that did not get it.
 	It("is not refused as not run if it gets another server too late", func() {
+		attempts := make(chan front.Attempt, 8)
+		cfg := newConfig(backends, &atomic.Pointer[routing.Table]{})
+		cfg.OnAttempt = func(a front.Attempt) { attempts <- a }
+		DeferCleanup(cfg.ConnPool.Close)
+		entry = httptest.NewServer(front.NewHandler(cfg))
+		DeferCleanup(entry.Close)
 		backends.add(func(http.ResponseWriter, *http.Request) {
 			backends.plannedStop.Store(&front.PlannedStop{LateFrom: time.Now().Add(time.Minute), End: time.Now().Add(200 * time.Millisecond)})
 			panic(http.ErrAbortHandler)
@@ -130,5 +138,7 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
 		Expect(reason).To(Equal("stopping\n"))
 		Expect(backends.runCounts()).To(Equal(map[string]int{"s-1": 1}))
+		Expect(attempts).To(Receive(HaveField("Server", "s-1")))
+		Expect(attempts).NotTo(Receive())
 	})
 })
