--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"goldcresthinge.example/goldcresthinge/internal/backend"
+	"goldcresthinge.example/goldcresthinge/internal/call"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 )
 
@@ -184,11 +185,13 @@
 }
 
 // Guards against bytes of a server that cause a panic, that are read without end, or that
-// are passed on as the response to a request although they carry the ID of another one.
+// are passed on as the response to a request although they carry the ID of another one or are no
+// response.
 func FuzzResponse(f *testing.F) {
 	for _, raw := range []string{
 		rawResponse("1", "one"), rawResponse("7", "x") + rawResponse("1", "one"), "HTTP/1.1 100 Continue\r\n\r\n" + rawResponse("1", ""),
 		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "\x00\x01 no HTTP", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+		"HTTP/1.1 000 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n" + rawResponse("1", ""), "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 1\r\n X: y\r\n\r\n",
 	} {
 		f.Add([]byte(raw))
 	}
@@ -209,6 +212,9 @@
 		if err != nil {
 			return
 		}
+		if err := call.CheckAnswer(resp.Status, resp.Header); err != nil {
+			t.Errorf("invalid head passed on: %v", err)
+		}
 		if resp.Info.RequestID != "1" && !resp.Info.NotRun {
 			t.Errorf("response with ID %q passed on for request 1", resp.Info.RequestID)
 		}
--- a/internal/backend/head_scanner.go
+++ b/internal/backend/head_scanner.go
@@ -2,10 +2,10 @@
 
 import "errors"
 
-// errFoldedLine is the error of a line of a response head that begins with a blank. net/http joins it
-// with the line before (obsolete line folding), although it may be a header whose name has a blank. An
-// intermediary may reject such a response (RFC 9112, section 5.2).
-var errFoldedLine = errors.New("a line of the response headers begins with a blank")
+// errFoldedLine is the error of a header line that starts with whitespace. net/http appends such a
+// line to the one before (obsolete line folding), although it may be a header of its own with a
+// malformed name. An intermediary may reject the response (RFC 9112, section 5.2).
+var errFoldedLine = errors.New("a line of the response headers starts with whitespace")
 
 // statusOffset is the offset of the status in the first line of a head.
 const statusOffset = len("HTTP/1.1 ")
--- a/internal/backend/sender.go
+++ b/internal/backend/sender.go
@@ -183,11 +183,7 @@
 // be distinguished from a broken connection. Targets need not return the ID of the call, but
 // without it a refusal may be a copy of an earlier one on the same connection.
 func checkResponseHeader(resp *http.Response, callID string, reusedConn bool) *outcome.Error {
-	err := call.CheckStatus(resp.StatusCode)
-	if err == nil {
-		err = call.CheckHeaderNames(resp.Header)
-	}
-	if err != nil {
+	if err := call.CheckAnswer(resp.StatusCode, resp.Header); err != nil {
 		return outcome.NewUnknown(outcome.ReasonBadAnswer, "target returned no valid answer: "+err.Error())
 	}
 	notRun := outcome.ParseKind(resp.Header.Get(outcome.HeaderOutcome)) == outcome.NotRun
--- a/internal/call/header.go
+++ b/internal/call/header.go
@@ -34,23 +34,31 @@
 	}
 }
 
-// CheckStatus returns an error unless status is that of a final answer. net/http also reads statuses
-// below 100, which HTTP does not define (RFC 9110, section 15), and with which a response cannot be
+// CheckStatus returns an error unless status is that of a final answer. net/http also accepts statuses
+// below 100 in a response, which HTTP does not define (RFC 9110, section 15), and panics when one is
 // written.
 func CheckStatus(status int) error {
 	if status < http.StatusOK || status > maxStatus {
-		return fmt.Errorf("%03d is not the status of an answer", status)
+		return fmt.Errorf("%03d is not a valid status of an answer", status)
 	}
 	return nil
 }
 
-// CheckHeaderNames returns an error if a name in the header of an answer is not a token (RFC 9110,
-// section 5.1). net/http reads names with spaces as well, but does not know them, so that the body has
-// another end than the one that "Content-Length : 5" states.
+// CheckAnswer returns an error if the head of a final answer has an invalid status or header name.
+func CheckAnswer(status int, h http.Header) error {
+	if err := CheckStatus(status); err != nil {
+		return err
+	}
+	return CheckHeaderNames(h)
+}
+
+// CheckHeaderNames returns an error if a header name of an answer is not a token (RFC 9110, section
+// 5.1). net/http accepts names with spaces but ignores what they mean, so that "Content-Length : 5"
+// does not delimit the body.
 func CheckHeaderNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%q is not the name of a header", name)
+			return fmt.Errorf("%q is not a valid header name", name)
 		}
 	}
 	return nil
--- a/internal/sibling/client.go
+++ b/internal/sibling/client.go
@@ -154,11 +154,7 @@
 		return nil, e
 	}
 	status, header := int(head.GetStatus()), headerFromProto(head.GetHeader())
-	err = call.CheckStatus(status)
-	if err == nil {
-		err = call.CheckHeaderNames(header)
-	}
-	if err != nil {
+	if err := call.CheckAnswer(status, header); err != nil {
 		return fail(outcome.NewUnknown(outcome.ReasonBadAnswer, "sibling returned no valid answer: "+err.Error()))
 	}
 	return &call.Answer{
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,4 +1,4 @@
-// Package socket tells the end of what a peer sends from the loss of the connection.
+// Package socket distinguishes a connection that the peer has closed from one that broke off.
 //
 // The kernel reports to one call only that a connection was reset or has timed out. If a write in
 // another goroutine gets that error, the next read returns io.EOF, as if the peer had closed the
@@ -41,8 +41,7 @@
 	writeErr error // of the first write that failed
 }
 
-// New returns a Conn that uses c. Connections that are not sockets are not changed in their
-// behavior.
+// New returns a Conn that uses c. If c is not a socket, its errors are returned unchanged.
 func New(c net.Conn) *Conn {
 	out := &Conn{Conn: c}
 	if s, ok := c.(syscall.Conn); ok {
@@ -51,7 +50,7 @@
 	return out
 }
 
-// RawConn returns the connection to the socket, or nil if there is none.
+// RawConn gives access to the socket. It is nil if the connection is not a socket.
 func (c *Conn) RawConn() syscall.RawConn { return c.raw }
 
 // Read implements net.Conn.
@@ -82,8 +81,8 @@
 	return errors.ErrUnsupported
 }
 
-// endOfInput returns io.EOF if the peer has closed its side, and otherwise the error that a write
-// got in place of the read.
+// endOfInput returns the error of a read that has found no more input: io.EOF if the peer has closed
+// its side, and otherwise the error that a write got in place of the read.
 func (c *Conn) endOfInput() error {
 	// A write on a connection that is still open may wait for the peer; on one that is gone, it
 	// returns at once.
