front: a request with a slow body counts as late in a planned stop

A request whose header arrived before a stop takes no more new ones, and whose body ended after it, was passed on and could be broken off like a late one.

Change: what counts is the end of the body, or of the part of it that is kept.

Result: "counts as late when the end of its body does" fails without the change.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -156,6 +156,7 @@
 	r             *http.Request
 	id            string
 	arrived       time.Time
+	received      time.Time // arrival of the body, or of the part that is kept; before, that of the header
 	deadline      time.Time
 	softDeadline  time.Time
 	route         *routing.Route
@@ -185,6 +186,7 @@
 // other panic, which it logs.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{h: h, w: w, r: r, arrived: time.Now()}
+	q.received = q.arrived
 	defer func() { h.cfg.Ledger.Release(capacity.Bodies, q.reserved) }()
 	defer q.returnUsage()
 	defer q.recoverPanic()
--- a/internal/front/prepare.go
+++ b/internal/front/prepare.go
@@ -82,7 +82,9 @@
 	if status, reason := q.admit(); status != 0 {
 		return status, reason
 	}
-	return q.readBody(limits.BodyBytes)
+	status, reason = q.readBody(limits.BodyBytes)
+	q.received = time.Now()
+	return status, reason
 }
 
 // attemptAge returns the estimated time since the caller's first attempt.
@@ -101,7 +103,7 @@
 	switch {
 	case stop.End.IsZero(), !q.deadline.After(stop.End):
 		return true
-	case !q.arrived.Before(stop.LateFrom):
+	case !q.received.Before(stop.LateFrom):
 		// A server may take longer than usual, and what became of a request that was broken off is
 		// not known.
 		return false
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -1,8 +1,10 @@
 package front_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -106,6 +108,22 @@
 		Entry("deadline of the route before the end", "/short/a", 30*time.Second, http.StatusOK),
 	)
 
+	It("counts as late when the end of its body does", func() {
+		backends.add(ok)
+		backends.plannedStop.Store(&front.PlannedStop{LateFrom: time.Now().Add(500 * time.Millisecond), End: time.Now().Add(30 * time.Second)})
+		conn, err := net.Dial("tcp", entry.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, _ = io.WriteString(conn, "POST /not-idempotent/a HTTP/1.1\r\nHost: 127.0.0.1\r\nTimeout-Ms: 60000\r\nContent-Length: 2\r\n\r\nx")
+		time.Sleep(600 * time.Millisecond)
+		_, _ = io.WriteString(conn, "x")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(backends.runCounts()).To(BeEmpty())
+	})
+
 	// Guards against a request that has waited for a server until the stop is about to break it off.
 	It("is refused as not run if it gets a server too late", func() {
 		backends.add(ok)
