registration: a late heartbeat does not take draining back

Cause: the store may do a write seconds after it was sent, when its writer has written again. A VM took each newer version of a row as it was; it did not decode the sequence of a registration and compared the start of the server's process for equality only. So a heartbeat with sequence 3 that was done late replaced the row that said draining, with sequence 6. On the same path a late heartbeat brought back a server whose row had been removed, and one of an earlier process replaced the present one.

Change: package registration decides which servers are registered, from the order in which they wrote their rows: by start, then by sequence. A copy of the registry keeps the latest registration beside an older row or a removal, and passes it on to siblings, which do not get the heartbeats in between. An older row has no effect, unless it outlives its expiry: then a process writes it whose clock was set back.

Why it works: what a VM has read of a start of a server is never replaced by what that start wrote before, whichever way it comes. Expired rows that a live server writes again have a higher sequence, new processes a later start, so both are used at once (tests).

--- a/internal/entry/deployment_test.go
+++ b/internal/entry/deployment_test.go
@@ -318,6 +318,48 @@
 	d.checkNoRequestRanTwice()
 }
 
+// Guards against requests to a server that drains after the store has done one of its earlier
+// heartbeats late, so that its row says again that it is ready.
+func TestLateHeartbeatOfADrainingServerIsIgnored(t *testing.T) {
+	d := newDeployment(t)
+	drain := func(s *platformtest.Server) {
+		s.SetLeaving(true)
+		s.SetFaults(platformtest.ServerFaults{InvertHealth: true}) // so that only the row says it
+		d.must(s.Register(d.store))
+	}
+	// getNone lets a VM serve some requests and reports whether none of them reached the servers.
+	getNone := func(n *entryVM, servers ...*platformtest.Server) bool {
+		served := func() (sum int64) {
+			for _, s := range servers {
+				sum += d.servedByServer(s.ID)
+			}
+			return sum
+		}
+		before, answered := served(), 0
+		for answered < 20 {
+			if d.status(n.callerAddress, "/not-idempotent/x") == 200 {
+				answered++
+			}
+		}
+		return served() == before
+	}
+	late := d.store.Get(platform.TableServers, d.servers[0].ID)
+	drain(d.servers[0])
+	for _, n := range d.vms {
+		d.eventually("the VM knows that the server drains", func() bool { return getNone(n, d.servers[0]) })
+	}
+	d.store.PutRaw(platform.TableServers, d.servers[0].ID, late)
+	// The VMs have read the late row when they follow what was written after it.
+	drain(d.servers[1])
+	drain(d.servers[2])
+	for _, n := range d.vms {
+		d.eventually("the VM knows that the other servers drain", func() bool { return getNone(n, d.servers[1], d.servers[2]) })
+		if !getNone(n, d.servers[0]) {
+			t.Error("requests reached a server that drains, want none")
+		}
+	}
+}
+
 // Guards against a VM that stops serving because the store is unavailable.
 func TestEntryVMsServeWithoutTheStore(t *testing.T) {
 	d := newDeployment(t)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -306,6 +306,7 @@
 	e.node.Store(n)
 	regions := n.RegionOf
 	e.state.regions.Store(&regions)
+	e.state.heartbeatInterval.Store(int64(n.HeartbeatInterval))
 	e.limitCallers(n)
 }
 
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -12,6 +12,7 @@
 
 	"goldcresthinge.example/goldcresthinge/internal/canary"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/registration"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
 	"goldcresthinge.example/goldcresthinge/internal/suspendclock"
@@ -45,6 +46,10 @@
 	vms       atomic.Pointer[[]fleet.VM]
 	regions   atomic.Pointer[map[string]string] // region by failure domain
 
+	// heartbeatInterval is the time.Duration after which a live backend server writes its row again; 0:
+	// not known.
+	heartbeatInterval atomic.Int64
+
 	// configurationAsOf is the suspendclock.Instant as of which routes and evacuated are proven to be
 	// up to date; 0: never.
 	configurationAsOf atomic.Int64
@@ -59,10 +64,9 @@
 	seenChanges           [4]uint64
 	configurationReadable bool      // the latest row of the configuration could be decoded
 	registryAsOf          time.Time // time as of which the registry was complete at the latest refresh
-	lapseGraceEnd         time.Time
-	lapsed                map[string]lapsedServer
+	lapseEnd              time.Time // time until which servers whose rows have expired stay in use
+	servers               *registration.Book
 	decodedRows           map[string]decodedRow // rows of the registry by key
-	reportedRows          map[string]bool       // keys of unreadable rows that have been logged
 	completed             map[string]uint64     // order of the latest completed roll-out by service
 	// reportedVersions holds the versions of the unreadable rows about roll-outs that have been
 	// logged, by key.
@@ -72,28 +76,21 @@
 // decodedRow is a row of the registry in the version for which it was decoded.
 type decodedRow struct {
 	version uint64
-	server  fleet.Server
-	err     error
-}
-
-type lapsedServer struct {
-	server fleet.Server
-	until  time.Time
+	row     registration.Row
 }
 
 func newDeploymentState(self fleet.VM, logger log.Logger) *deploymentState {
 	d := &deploymentState{
-		self:         self,
-		log:          log.With(logger, "part", "world"),
-		operator:     replica.New(platform.TableOperator, nil),
-		registry:     replica.New(platform.TableServers, sameServer),
-		members:      replica.New(platform.TableVMs, nil),
-		status:       replica.New(platform.TableStatus, nil),
-		fleet:        fleet.NewServerTable(),
-		lapsed:       map[string]lapsedServer{},
-		reportedRows: map[string]bool{},
-		completed:    map[string]uint64{}, reportedVersions: map[string]uint64{},
+		self:      self,
+		log:       log.With(logger, "part", "world"),
+		operator:  replica.New(platform.TableOperator, nil),
+		registry:  replica.NewOrdered(platform.TableServers, sameServer, olderRegistration),
+		members:   replica.New(platform.TableVMs, nil),
+		status:    replica.New(platform.TableStatus, nil),
+		fleet:     fleet.NewServerTable(),
+		completed: map[string]uint64{}, reportedVersions: map[string]uint64{},
 	}
+	d.servers = registration.NewBook(func() time.Duration { return time.Duration(d.heartbeatInterval.Load()) })
 	d.replaced.Store(&map[string]uint64{})
 	d.evacuated.Store(&map[string]bool{})
 	d.vms.Store(&[]fleet.VM{self})
@@ -110,6 +107,17 @@
 	return errX == nil && errY == nil && x.SameState(y)
 }
 
+// olderRegistration reports whether a backend server wrote row value a before b. It is a
+// replica.OlderFunc.
+func olderRegistration(a, b []byte) bool {
+	x, err := platform.DecodeServer("ordered", a)
+	if err != nil {
+		return true
+	}
+	y, err := platform.DecodeServer("ordered", b)
+	return err == nil && registration.Older(x, y)
+}
+
 func (d *deploymentState) tables() []*replica.Table {
 	return []*replica.Table{d.operator, d.registry, d.members, d.status}
 }
@@ -160,7 +168,7 @@
 			}
 		case d.registry:
 			d.detectReadGap(now, asOf)
-			if !unchanged || len(d.lapsed) > 0 {
+			if !unchanged || d.servers.Pending() {
 				d.refreshServers(now)
 			}
 		case d.members:
@@ -179,7 +187,7 @@
 // could not be read for more than minReadGap.
 func (d *deploymentState) detectReadGap(now, asOf time.Time) {
 	if !d.registryAsOf.IsZero() && asOf.Sub(d.registryAsOf) > minReadGap {
-		d.lapseGraceEnd = now.Add(lapseGracePeriod)
+		d.lapseEnd = now.Add(lapseGracePeriod)
 		_ = level.Warn(d.log).Log("msg", "registry read again after a gap; servers with expired rows stay in use for now", "gap_ms", asOf.Sub(d.registryAsOf).Milliseconds())
 	}
 	if asOf.After(d.registryAsOf) {
@@ -241,56 +249,58 @@
 }
 
 func (d *deploymentState) refreshServers(now time.Time) {
-	previous := map[string]fleet.Server{}
-	for _, s := range d.fleet.Servers() {
-		previous[s.ID] = s
-	}
-	var servers []fleet.Server
-	present := map[string]bool{}
+	_, asOf, _ := d.registry.State() // before the rows are read, so that they are as new
 	rows := d.registry.Rows()
 	decoded := make(map[string]decodedRow, len(rows))
+	registered := make([]registration.Row, 0, len(rows))
 	for _, row := range rows {
 		entry, ok := d.decodedRows[row.Key]
 		if !ok || entry.version != row.Version {
-			entry.version = row.Version
-			entry.server, entry.err = platform.DecodeServer(row.Key, row.Value)
+			entry = decodedRow{row.Version, decodeRegistration(row)}
 		}
 		decoded[row.Key] = entry
-		s, err := entry.server, entry.err
-		if err != nil {
-			if !d.reportedRows[row.Key] {
-				d.reportedRows[row.Key] = true
-				_ = level.Warn(d.log).Log("msg", "unreadable row of the registry ignored", "err", err)
-			}
-			continue
-		}
-		present[s.ID] = true
-		delete(d.lapsed, s.ID)
-		servers = append(servers, s)
-		if old, ok := previous[s.ID]; !ok || !old.SameState(s) {
-			_ = level.Info(d.log).Log("msg", "backend server registered", "server", s.ID, "service", s.Service,
-				"failure_domain", s.FailureDomain, "version", s.Version, "draining", s.Draining, "cold_ms", s.ColdFor.Milliseconds())
-		}
+		registered = append(registered, entry.row)
 	}
 	d.decodedRows = decoded
-	for id, s := range previous {
-		if present[id] {
-			continue
-		}
-		if _, ok := d.lapsed[id]; !ok && now.Before(d.lapseGraceEnd) && !s.Draining {
-			d.lapsed[id] = lapsedServer{server: s, until: d.lapseGraceEnd}
-			_ = level.Info(d.log).Log("msg", "row of the registry expired while the store was unavailable; server stays in use for now", "server", id)
-		}
-		if l, ok := d.lapsed[id]; ok && now.Before(l.until) {
-			servers = append(servers, s)
-			continue
-		}
-		delete(d.lapsed, id)
-		_ = level.Info(d.log).Log("msg", "backend server gone", "server", id, "service", s.Service)
+	servers, events := d.servers.Update(now, asOf, registered, d.lapseEnd)
+	for _, e := range events {
+		d.logRegistration(e)
 	}
 	d.fleet.SetServers(servers)
 }
 
+// decodeRegistration decodes a row of the registry.
+func decodeRegistration(row replica.Row) registration.Row {
+	r := registration.Row{ID: row.Key}
+	if r.Server, r.Err = platform.DecodeServer(row.Key, row.Value); r.Err != nil || row.Latest == nil {
+		return r
+	}
+	latest, err := platform.DecodeServer(row.Key, row.Latest)
+	if err != nil {
+		return r // only a sibling that reads rows in another way has sent it
+	}
+	r.Superseded, r.Latest, r.LatestRemoved = true, latest, row.LatestRemoved
+	return r
+}
+
+func (d *deploymentState) logRegistration(e registration.Event) {
+	s := e.Server
+	switch e.Kind {
+	case registration.Registered:
+		_ = level.Info(d.log).Log("msg", "backend server registered", "server", s.ID, "service", s.Service, "failure_domain", s.FailureDomain,
+			"version", s.Version, "draining", s.Draining, "cold_ms", s.ColdFor.Milliseconds(), "incarnation", s.Incarnation, "sequence", s.Sequence)
+	case registration.Gone:
+		_ = level.Info(d.log).Log("msg", "backend server gone", "server", e.ID, "service", s.Service, "incarnation", s.Incarnation, "sequence", s.Sequence)
+	case registration.Lapsed:
+		_ = level.Info(d.log).Log("msg", "row of the registry expired while the store was unavailable; server stays in use for now", "server", e.ID)
+	case registration.Unreadable:
+		_ = level.Warn(d.log).Log("msg", "unreadable row of the registry ignored", "err", e.Err)
+	case registration.HeldBack:
+		_ = level.Warn(d.log).Log("msg", "row of the registry is older than what the server has written since, and has no effect", "server", e.ID,
+			"draining", s.Draining, "incarnation", s.Incarnation, "sequence", s.Sequence)
+	}
+}
+
 func (d *deploymentState) refreshVMs() {
 	vms := []fleet.VM{d.self}
 	for _, row := range d.members.Rows() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,15 +22,18 @@
 	// ColdFor is the time for which the server expected to remain cold when it wrote
 	// this registration.
 	ColdFor time.Duration
-	// Incarnation differs between two starts of a server under the same ID.
+	// Incarnation grows with each start of a server under the same ID.
 	Incarnation uint64
+	// Sequence grows with each registration that one process of the server writes; 0: not known.
+	Sequence uint64
 }
 
 // SameState reports whether two registrations of a server are equivalent for
 // placement. ColdFor decreases with each heartbeat, so only whether it is zero
-// is compared.
+// is compared. Sequence is ignored.
 func (s Server) SameState(o Server) bool {
 	s.ColdFor, o.ColdFor = min(s.ColdFor, 1), min(o.ColdFor, 1)
+	s.Sequence = o.Sequence
 	return s == o
 }
 
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -134,7 +134,7 @@
 		if !ok {
 			return true
 		}
-		s.Draining, s.ColdFor = st.server.Draining, st.server.ColdFor
+		s.Draining, s.ColdFor, s.Sequence = st.server.Draining, st.server.ColdFor, st.server.Sequence
 		if s != st.server {
 			return true
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,6 +23,12 @@
 	Value   []byte
 	Version uint64
 	Removed bool
+	// Latest is the value that the writer of the row wrote last, as far as this copy has seen, if the
+	// row does not have it any longer: the store may carry out a write after a later one or after the
+	// row was removed. It is nil if Value is the latest, and in tables without an OlderFunc.
+	Latest []byte
+	// LatestRemoved is true if the row was removed after Latest was written.
+	LatestRemoved bool
 }
 
 // Changes holds the rows of a table that changed after BaseVersion of the store,
@@ -40,10 +46,15 @@
 // EqualFunc reports whether two values of a row are equivalent for its readers.
 type EqualFunc func(a, b []byte) bool
 
+// OlderFunc reports whether the writer of a row wrote value a before value b, or wrote a again. It
+// returns true if a cannot be read.
+type OlderFunc func(a, b []byte) bool
+
 // Table is a copy of one table. It is safe for concurrent use.
 type Table struct {
 	name  string
 	equal EqualFunc
+	older OlderFunc // nil: the writers' order is not known
 
 	mu             sync.Mutex
 	rows           map[string]entry
@@ -71,6 +82,14 @@
 	return &Table{name: name, equal: equal, rows: map[string]entry{}}
 }
 
+// NewOrdered is New for a table in which the order of the writes of one row can be told from their
+// values.
+func NewOrdered(name string, equal EqualFunc, older OlderFunc) *Table {
+	t := New(name, equal)
+	t.older = older
+	return t
+}
+
 // Name returns the name of the table.
 func (t *Table) Name() string { return t.name }
 
@@ -142,8 +161,11 @@
 	}
 	e := entry{Row: r, changedVersion: r.Version}
 	wasPresent := ok && !old.Removed
+	if t.older != nil {
+		t.keepLatest(old.Row, &e.Row)
+	}
 	switch {
-	case !r.Removed && wasPresent && t.equal(old.Value, r.Value):
+	case !r.Removed && wasPresent && t.equivalent(old.Row, e.Row):
 		e.changedVersion = old.changedVersion
 	default:
 		t.changeCount++
@@ -161,6 +183,47 @@
 	}
 }
 
+// equivalent reports whether two states of a row that was not removed in between are equivalent for
+// readers, whether they use the value that the row has or the latest one.
+func (t *Table) equivalent(old, r Row) bool {
+	if old.Latest == nil && r.Latest == nil {
+		return t.equal(old.Value, r.Value)
+	}
+	oldLatest, oldRemoved := old.latest()
+	latest, removed := r.latest()
+	return oldRemoved == removed && t.equal(old.Value, r.Value) && t.equal(oldLatest, latest)
+}
+
+// keepLatest sets r.Latest and r.LatestRemoved when r replaces old, which is the zero Row if the copy
+// has none.
+func (t *Table) keepLatest(old Row, r *Row) {
+	latest, removed := old.latest()
+	if r.Latest != nil { // a sibling has seen a later value than that in r
+		if latest == nil || !t.older(r.Latest, latest) {
+			latest, removed = r.Latest, r.LatestRemoved
+		} else if t.older(latest, r.Latest) { // the same one
+			removed = removed || r.LatestRemoved
+		}
+	}
+	switch {
+	case r.Removed:
+		r.Latest, r.LatestRemoved = latest, true
+	case latest == nil || !t.older(r.Value, latest) || !removed && bytes.Equal(r.Value, latest):
+		r.Latest, r.LatestRemoved = nil, false
+	default:
+		r.Latest, r.LatestRemoved = latest, removed
+	}
+}
+
+// latest returns the value that the writer of r wrote last, or nil if it is not known, and whether the
+// row was removed since.
+func (r Row) latest() (value []byte, removed bool) {
+	if r.Latest != nil || r.Removed {
+		return r.Latest, r.Removed || r.LatestRemoved
+	}
+	return r.Value, false
+}
+
 // dropTombstones drops all tombstones and records up to which version they were
 // dropped. The caller must hold mu.
 func (t *Table) dropTombstones() {
--- a/internal/statesync/codec.go
+++ b/internal/statesync/codec.go
@@ -76,7 +76,9 @@
 		Table: name, Version: c.Version, After: c.BaseVersion, Whole: c.Full, AgeMs: ageMs(now, asOf),
 	}
 	for _, r := range c.Rows {
-		out.Rows = append(out.Rows, &siblingpb.StoreRow{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+		out.Rows = append(out.Rows, &siblingpb.StoreRow{
+			Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed, Latest: r.Latest, LatestRemoved: r.LatestRemoved,
+		})
 	}
 	return out
 }
@@ -88,6 +90,7 @@
 	for _, r := range m.GetRows() {
 		c.Rows = append(c.Rows, replica.Row{
 			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
+			Latest: r.GetLatest(), LatestRemoved: r.GetLatestRemoved(),
 		})
 	}
 	return c, now.Add(-milliseconds(m.GetAgeMs()))
