outage: a VM's own failed reads are no outage of the store

Cause: rows that expire in an outage of the store are kept in use for 2.2 s after it. A VM took a gap of more than 1.8 s between two of its reads for an outage. A read on a silent connection alone takes 0.9 s, and a pause followed it; the log had "registry read again after a gap ... gap_ms=1872" and then "row of the registry expired while the store was unavailable" for the server that had left. Paused relays have the same effect where the other VMs read late.

Change: package outage concludes an outage from evidence only. The store has to answer that it is unavailable, or not to answer on a connection that was opened after an earlier failure, in a time in which no VM is known to have read it. A read that was interrupted by a pause of the VM shows nothing. Copies that siblings send say since when the store has been read without a gap, and whether it was unavailable before; so a conclusion is passed on, and withdrawn if a sibling has read the store throughout. After silence on a kept connection the next read opens a new one at once.

Why it works: silent connections, paused relays and a VM that is cut off alone leave no such evidence or are contradicted by the siblings' copies, so a missing row is a removal at once. In a real outage all VMs have it.

--- a/internal/entry/deployment_test.go
+++ b/internal/entry/deployment_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,8 +18,10 @@
 	"goldcresthinge.example/goldcresthinge/internal/backend"
 	"goldcresthinge.example/goldcresthinge/internal/entry"
 	"goldcresthinge.example/goldcresthinge/internal/front"
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/settings"
 	"goldcresthinge.example/goldcresthinge/internal/standin/freeport"
+	"goldcresthinge.example/goldcresthinge/internal/standin/netem"
 	"goldcresthinge.example/goldcresthinge/platform"
 	"goldcresthinge.example/goldcresthinge/platform/platformtest"
 )
@@ -38,16 +41,18 @@
 	quotaWindow   time.Duration
 	lastRequestID atomic.Int64
 	rolloutLog    rolloutLog
+	storeLink     *netem.Link // to the store, for all VMs
 }
 
-// rolloutLog keeps the log lines about roll-outs and failed requests.
+// rolloutLog keeps the log lines about roll-outs, failed requests and the registry.
 type rolloutLog struct {
 	mu    sync.Mutex
 	lines strings.Builder
 }
 
 func (l *rolloutLog) Write(line []byte) (int, error) {
-	if bytes.Contains(line, []byte("part=rollout")) || bytes.Contains(line, []byte("attempt failed")) || bytes.Contains(line, []byte("outcome=ended")) {
+	if bytes.Contains(line, []byte("part=rollout")) || bytes.Contains(line, []byte("attempt failed")) || bytes.Contains(line, []byte("outcome=ended")) ||
+		bytes.Contains(line, []byte("part=world")) || bytes.Contains(line, []byte("part=reader")) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.lines.Write(line)
@@ -94,7 +99,11 @@
 	t.Helper()
 	d := &deployment{t: t, store: platformtest.NewStore()}
 	d.storeClient = d.store.Client()
-	d.address = serve(t, d.storeClient)
+	d.storeLink = netem.New(0, 0)
+	t.Cleanup(d.storeLink.Close)
+	proxy, err := d.storeLink.StartProxy("127.0.0.1:0", serve(t, d.storeClient), netem.AToB)
+	d.must(err)
+	d.address = proxy.Address()
 	t.Cleanup(d.stop)
 	d.configure(1)
 	for _, domain := range []string{"a", "a", "b", "b"} {
@@ -360,6 +369,51 @@
 	}
 }
 
+// Guards against VMs that keep a server whose row is gone because their connections to the store have
+// gone silent, although new ones work and the store was available throughout.
+func TestSilentConnectionsAreNoOutage(t *testing.T) {
+	d := newDeployment(t)
+	for _, s := range d.servers[:3] {
+		d.storeLink.Blackhole()
+		d.store.Remove(platform.TableServers, s.ID)
+		for i := range d.vms {
+			line := regexp.MustCompile(fmt.Sprintf(`vm=vm-%d part=world msg="backend server gone" server=%s `, i, s.ID))
+			d.eventually("the VM no longer uses the server", func() bool { return line.MatchString(d.rolloutLog.String()) })
+		}
+	}
+	if lapsed := regexp.MustCompile(`.*expired while the store was unavailable.*`).FindAllString(d.rolloutLog.String(), -1); len(lapsed) > 0 {
+		t.Errorf("VMs kept servers that have left:\n%s", strings.Join(lapsed, "\n"))
+	}
+}
+
+// Guards against VMs that drop all servers because their rows expired while the store was really
+// unavailable.
+func TestServersWhoseRowsExpireInAnOutageStayInUse(t *testing.T) {
+	d := newDeployment(t)
+	d.storeClient.SetFaults(platformtest.StoreFaults{Unavailable: true})
+	for _, s := range d.servers {
+		d.store.Remove(platform.TableServers, s.ID)
+	}
+	for i := range d.vms {
+		line := regexp.MustCompile(fmt.Sprintf(`vm=vm-%d part=reader msg="read of a store table failed" table=servers`, i))
+		d.eventually("the VM cannot read the registry", func() bool { return line.MatchString(d.rolloutLog.String()) })
+	}
+	time.Sleep(outage.MaxReadGap) // a shorter outage is not one
+	d.storeClient.SetFaults(platformtest.StoreFaults{})
+	for i := range d.vms {
+		line := regexp.MustCompile(fmt.Sprintf(`vm=vm-%d part=world msg="row of the registry expired while`, i))
+		d.eventually("the VM has read the registry again", func() bool {
+			return len(line.FindAllString(d.rolloutLog.String(), -1)) == len(d.servers)
+		})
+	}
+	for _, s := range d.servers {
+		d.must(s.Register(d.store))
+	}
+	for _, n := range d.vms {
+		d.eventually("the VM serves", func() bool { return d.status(n.callerAddress, "/not-idempotent/x") == 200 })
+	}
+}
+
 // Guards against a VM that stops serving because the store is unavailable.
 func TestEntryVMsServeWithoutTheStore(t *testing.T) {
 	d := newDeployment(t)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -226,7 +226,7 @@
 	distance := e.rollouts.distance
 	for _, t := range e.state.tables() {
 		r := &tableReader{
-			table: t, store: e.store, roles: e.syncer, ageFactor: 1, distance: distance, onChange: func() { e.stateChanged(true) }, log: logger,
+			table: t, store: e.store, roles: e.syncer, ageFactor: 1, distance: distance, onChange: func() { e.stateChanged(true) }, recordOutage: e.state.recordOutage, log: logger,
 			maxChangeDelay: func() time.Duration {
 				b := e.node.Load().Bounds
 				return min(b.DrainTimeout, b.ConfigApplyTimeout)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/canary"
 	"goldcresthinge.example/goldcresthinge/internal/counts"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/quota"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
@@ -47,6 +48,7 @@
 	state.registry.Apply(replica.Changes{Full: true, Version: 5, Rows: []replica.Row{serverRow("s-1", 4, "ready"), serverRow("s-2", 5, "ready")}}, after(0))
 	state.refresh(after(0))
 	// The store was unavailable for 5 s, and both rows expired in that time.
+	state.recordOutage(after(2000))
 	state.registry.Apply(replica.Changes{Full: true, Version: 9}, after(5000))
 	state.refresh(after(5001))
 	if n := len(state.fleet.Servers()); n != 2 {
@@ -60,6 +62,48 @@
 	}
 }
 
+// Guards against a VM that takes its own failed or missing reads for an outage of the store and goes on
+// with a server that has left, and against an outage that is overlooked because the relay noticed it.
+func TestOnlyOutagesKeepServersWithoutRows(t *testing.T) {
+	at := func(from, to int, afterOutage bool) outage.History {
+		return outage.History{Since: after(from), AsOf: after(to), AfterOutage: afterOutage}
+	}
+	for _, c := range []struct {
+		name     string
+		failedMs int // time of a read of this VM that shows an outage; 0: none
+		copies   []outage.History
+		want     int
+	}{
+		{"connections were silent", 0, []outage.History{at(2500, 2500, false)}, 0},
+		{"the relay was paused", 0, []outage.History{at(4000, 4000, false)}, 0},
+		{"the store was unavailable", 2000, []outage.History{at(5000, 5000, false)}, 1},
+		{"the relay found the store unavailable", 0, []outage.History{at(5000, 5200, true)}, 1},
+		{"this VM alone could not read", 2000, []outage.History{at(-9000, 5000, false)}, 0},
+		{"this VM alone could not read, and reads first", 2000, []outage.History{at(5000, 5000, false), at(-9000, 5100, false)}, 0},
+		{"the relay alone could not read", 0, []outage.History{at(1400, 1400, false), at(2800, 2800, false), at(3100, 3200, true)}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			state := newTestState()
+			state.registry.Apply(replica.Changes{Full: true, Version: 5, Rows: []replica.Row{serverRow("s-1", 4, "ready")}}, after(0))
+			state.refresh(after(0))
+			if c.failedMs > 0 {
+				state.recordOutage(after(c.failedMs))
+			}
+			for i, h := range c.copies {
+				changes := replica.Changes{BaseVersion: 9, Version: 9}
+				if i == 0 {
+					changes = replica.Changes{BaseVersion: 5, Version: 9, Rows: []replica.Row{{Key: "s-1", Version: 9, Removed: true}}}
+				}
+				state.registry.ApplyCopy(changes, h)
+				state.refresh(h.AsOf.Add(time.Millisecond))
+			}
+			if n := len(state.fleet.Servers()); n != c.want {
+				t.Errorf("%d servers in use after the row was removed, want %d", n, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a server that stays in use after its row was removed without
 // notice.
 func TestRemovedEntriesAreDroppedAtOnce(t *testing.T) {
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/internal/suspendclock"
 	"goldcresthinge.example/goldcresthinge/platform"
@@ -90,9 +91,12 @@
 	firstStart bool
 	distance   *storeDistance
 	onChange   func()
-	log        log.Logger
-	failing    bool // the latest read failed and this was logged
-	failures   int  // failed reads since the latest successful one; also counts changes that did not fit the copy
+	// recordOutage is called with the time at which a read was sent that shows that the store is
+	// unavailable.
+	recordOutage func(sentAt time.Time)
+	log          log.Logger
+	failing      bool // the latest read failed and this was logged
+	failures     int  // failed reads since the latest successful one; also counts changes that did not fit the copy
 }
 
 // retryPause returns the pause after a number of successive failed reads.
@@ -136,6 +140,10 @@
 			continue
 		}
 		if err := r.read(ctx, version); err != nil {
+			var noResponse *platform.NoResponseError
+			if errors.As(err, &noResponse) && !noResponse.NewConnection {
+				continue // kept connections were closed, so the next read opens a new one
+			}
 			r.failures++
 			pauseUntil = time.Now().Add(retryPause(r.failures, r.isRegionRelay(now), rand.Float64())) //nolint:gosec // no secret
 			continue
@@ -187,12 +195,26 @@
 	return r.longPoll && r.isRegionRelay(now) && !r.distance.far()
 }
 
+// showsOutage reports whether a read that failed with err shows that the store is unavailable.
+func (r *tableReader) showsOutage(ctx context.Context, err error, took, timeout time.Duration) bool {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return false // this VM stops
+	}
+	f := outage.FailedRead{Refused: errors.Is(err, platform.ErrUnavailable), Repeated: r.failing, Took: took, Timeout: timeout}
+	var noResponse *platform.NoResponseError
+	if errors.As(err, &noResponse) {
+		f.NewConnection = noResponse.NewConnection
+	}
+	return f.ShowsOutage()
+}
+
 func (r *tableReader) read(ctx context.Context, version uint64) error {
 	wait := time.Duration(0)
 	if r.waitsForChanges(time.Now()) {
 		wait = time.Duration(regionRelayAgeShare*float64(r.maxChangeDelay())) * r.ageFactor
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	timeout := wait + readTimeoutMargin
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent, sentAt := time.Now(), suspendclock.Now()
 	var c replica.Changes
@@ -208,6 +230,9 @@
 	}
 	if err != nil {
 		r.store.CloseIdleConnections()
+		if r.showsOutage(ctx, err, time.Since(sent), timeout) {
+			r.recordOutage(sent)
+		}
 		if !r.failing {
 			_ = level.Warn(r.log).Log("msg", "read of a store table failed", "table", r.table.Name(), "version", version, "err", err)
 		}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -12,6 +12,7 @@
 
 	"goldcresthinge.example/goldcresthinge/internal/canary"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/registration"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/internal/routing"
@@ -19,16 +20,9 @@
 	"goldcresthinge.example/goldcresthinge/platform"
 )
 
-const (
-	// minReadGap is the time between two successful reads of the registry above
-	// which rows may have expired because the store was unavailable rather
-	// than because their servers were gone.
-	minReadGap = 1800 * time.Millisecond
-	// lapseGracePeriod is how long servers whose rows expired during such a
-	// gap stay in use. A running server writes its row again within two
-	// seconds.
-	lapseGracePeriod = 2200 * time.Millisecond
-)
+// lapseGracePeriod is how long servers whose rows expired in an outage of the store stay in use after
+// it. A live server writes its row again within two seconds.
+const lapseGracePeriod = 2200 * time.Millisecond
 
 // deploymentState is what this VM knows of the deployment, decoded from its
 // copies of the store's tables. Its methods are safe for concurrent use.
@@ -62,8 +56,8 @@
 
 	mu                    sync.Mutex // held by refresh; guards the fields below
 	seenChanges           [4]uint64
-	configurationReadable bool      // the latest row of the configuration could be decoded
-	registryAsOf          time.Time // time as of which the registry was complete at the latest refresh
+	configurationReadable bool // the latest row of the configuration could be decoded
+	outages               outage.Watch
 	lapseEnd              time.Time // time until which servers whose rows have expired stay in use
 	servers               *registration.Book
 	decodedRows           map[string]decodedRow // rows of the registry by key
@@ -154,7 +148,7 @@
 	defer d.mu.Unlock()
 	provenAsOf := d.operator.ProvenAsOf() // before the rows are read, so that they are as new
 	for i, t := range d.tables() {
-		_, asOf, changed := t.State()
+		_, _, changed := t.State()
 		unchanged := changed == d.seenChanges[i]
 		d.seenChanges[i] = changed
 		switch t {
@@ -167,7 +161,7 @@
 				d.configurationAsOf.Store(int64(provenAsOf))
 			}
 		case d.registry:
-			d.detectReadGap(now, asOf)
+			d.updateLapseEnd()
 			if !unchanged || d.servers.Pending() {
 				d.refreshServers(now)
 			}
@@ -183,15 +177,26 @@
 	}
 }
 
-// detectReadGap starts the grace period for expired rows if the registry
-// could not be read for more than minReadGap.
-func (d *deploymentState) detectReadGap(now, asOf time.Time) {
-	if !d.registryAsOf.IsZero() && asOf.Sub(d.registryAsOf) > minReadGap {
-		d.lapseEnd = now.Add(lapseGracePeriod)
-		_ = level.Warn(d.log).Log("msg", "registry read again after a gap; servers with expired rows stay in use for now", "gap_ms", asOf.Sub(d.registryAsOf).Milliseconds())
+// updateLapseEnd determines for how long servers whose rows have expired stay in use.
+func (d *deploymentState) updateLapseEnd() {
+	h := d.registry.History()
+	end, change := d.outages.Update(h, lapseGracePeriod)
+	d.lapseEnd = end
+	switch change {
+	case outage.Began:
+		_ = level.Warn(d.log).Log("msg", "store was unavailable; servers whose rows expired meanwhile stay in use for now",
+			"available_since", h.Since.Format(time.RFC3339Nano))
+	case outage.Withdrawn:
+		_ = level.Info(d.log).Log("msg", "a sibling has read the store throughout; servers without a row are not used any longer",
+			"read_since", h.Since.Format(time.RFC3339Nano))
 	}
-	if asOf.After(d.registryAsOf) {
-		d.registryAsOf = asOf
+}
+
+// recordOutage records that a read of the store, sent at sentAt, failed in a way that shows that the
+// store is unavailable.
+func (d *deploymentState) recordOutage(sentAt time.Time) {
+	for _, t := range d.tables() {
+		t.RecordOutage(sentAt)
 	}
 }
 
@@ -249,7 +254,7 @@
 }
 
 func (d *deploymentState) refreshServers(now time.Time) {
-	_, asOf, _ := d.registry.State() // before the rows are read, so that they are as new
+	asOf := d.registry.History().AsOf // before the rows are read, so that they are as new
 	rows := d.registry.Rows()
 	decoded := make(map[string]decodedRow, len(rows))
 	registered := make([]registration.Row, 0, len(rows))
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/suspendclock"
 )
 
@@ -59,7 +60,8 @@
 	mu             sync.Mutex
 	rows           map[string]entry
 	version        uint64               // store version up to which the copy is complete; 0: nothing read yet
-	asOf           time.Time            // time just before the read of the latest version was sent
+	history        outage.History       // of the reads that led to this copy; AsOf is that of the latest version
+	failedAt       time.Time            // see RecordOutage
 	readAsOf       time.Time            // the same for the reads of this process alone
 	provenAsOf     suspendclock.Instant // see Prove
 	tombstoneFloor uint64               // removals up to this version may have no tombstone: it was dropped, or they came before the first read
@@ -99,7 +101,24 @@
 func (t *Table) State() (version uint64, asOf time.Time, changeCount uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version, t.asOf, t.changeCount
+	return t.version, t.history.AsOf, t.changeCount
+}
+
+// History returns what is known of the reads of the store that led to this copy.
+func (t *Table) History() outage.History {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.history
+}
+
+// RecordOutage records that a read by this process, of any table, that was sent at sentAt failed in a
+// way that shows an outage of the store; see outage.FailedRead.
+func (t *Table) RecordOutage(sentAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if sentAt.After(t.failedAt) {
+		t.failedAt = sentAt
+	}
 }
 
 // Apply merges changes that were read from the store at asOf. It returns false and
@@ -108,6 +127,11 @@
 // If Apply returns false, the caller must obtain the whole table. For changes older
 // than the copy it returns true and does nothing.
 func (t *Table) Apply(c Changes, asOf time.Time) bool {
+	return t.ApplyCopy(c, outage.History{AsOf: asOf, Since: asOf})
+}
+
+// ApplyCopy is Apply for changes from the copy of a sibling with the given history.
+func (t *Table) ApplyCopy(c Changes, h outage.History) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !c.Full && (t.version == 0 || c.BaseVersion > t.version) {
@@ -125,9 +149,7 @@
 		}
 	}
 	t.version = c.Version
-	if asOf.After(t.asOf) {
-		t.asOf = asOf
-	}
+	t.history = t.history.Join(h, t.failedAt)
 	return true
 }
 
@@ -258,6 +280,18 @@
 	return t.readAsOf
 }
 
+// ReadHistory is History up to the latest read of this process.
+func (t *Table) ReadHistory() outage.History {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.history.Since.After(t.readAsOf) {
+		return outage.History{AsOf: t.readAsOf, Since: t.readAsOf}
+	}
+	h := t.history
+	h.AsOf = t.readAsOf
+	return h
+}
+
 // Prove records that a copy that has reached version has all changes that the store had accepted
 // before asOf. It has no effect if this copy has not reached the version. Unlike the time that State returns,
 // asOf is not an estimate: no delay on the way and no pause of a VM makes it too late.
--- a/internal/statesync/codec.go
+++ b/internal/statesync/codec.go
@@ -6,6 +6,7 @@
 
 	"goldcresthinge.example/goldcresthinge/api/siblingpb"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 )
 
@@ -70,10 +71,11 @@
 	return out
 }
 
-// encodeTable converts changes of the table called name, read at asOf, to a message.
-func encodeTable(now time.Time, name string, c replica.Changes, asOf time.Time) *siblingpb.TableNews {
+// encodeTable converts changes of the table called name, with the reads that led to them, to a message.
+func encodeTable(now time.Time, name string, c replica.Changes, h outage.History) *siblingpb.TableNews {
 	out := &siblingpb.TableNews{
-		Table: name, Version: c.Version, After: c.BaseVersion, Whole: c.Full, AgeMs: ageMs(now, asOf),
+		Table: name, Version: c.Version, After: c.BaseVersion, Whole: c.Full, AgeMs: ageMs(now, h.AsOf),
+		UnbrokenMs: clamp(int(h.Unbroken().Milliseconds())), AfterOutage: h.AfterOutage,
 	}
 	for _, r := range c.Rows {
 		out.Rows = append(out.Rows, &siblingpb.StoreRow{
@@ -83,9 +85,9 @@
 	return out
 }
 
-// decodeTable returns the changes in a message that was received at now, and the
-// time at which they were read from the store.
-func decodeTable(now time.Time, m *siblingpb.TableNews) (replica.Changes, time.Time) {
+// decodeTable returns the changes in a message that was received at now, and what the sender knows of
+// the reads of the store that led to them.
+func decodeTable(now time.Time, m *siblingpb.TableNews) (replica.Changes, outage.History) {
 	c := replica.Changes{BaseVersion: m.GetAfter(), Version: m.GetVersion(), Full: m.GetWhole()}
 	for _, r := range m.GetRows() {
 		c.Rows = append(c.Rows, replica.Row{
@@ -93,7 +95,8 @@
 			Latest: r.GetLatest(), LatestRemoved: r.GetLatestRemoved(),
 		})
 	}
-	return c, now.Add(-milliseconds(m.GetAgeMs()))
+	asOf := now.Add(-milliseconds(m.GetAgeMs()))
+	return c, outage.History{AsOf: asOf, Since: asOf.Add(-milliseconds(m.GetUnbrokenMs())), AfterOutage: m.GetAfterOutage()}
 }
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/statesync/codec_test.go
+++ b/internal/statesync/codec_test.go
@@ -1,13 +1,45 @@
 package statesync
 
 import (
+	"reflect"
 	"slices"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"goldcresthinge.example/goldcresthinge/api/siblingpb"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/outage"
+	"goldcresthinge.example/goldcresthinge/internal/replica"
 )
 
+// Guards against a follower that does not learn from a copy which value is the latest, or whether the
+// store was unavailable.
+func TestCopiesKeepWhatTheSenderKnows(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sent := replica.Changes{BaseVersion: 4, Version: 9, Rows: []replica.Row{
+		{Key: "late", Value: []byte("3"), Version: 8, Latest: []byte("6"), LatestRemoved: true},
+		{Key: "removed", Version: 9, Removed: true, Latest: []byte("5"), LatestRemoved: true},
+	}}
+	history := outage.History{AsOf: now.Add(-100 * time.Millisecond), Since: now.Add(-5 * time.Second), AfterOutage: true}
+	data, err := proto.Marshal(encodeTable(now, "t", sent, history))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m siblingpb.TableNews
+	if err := proto.Unmarshal(data, &m); err != nil {
+		t.Fatal(err)
+	}
+	received, receivedHistory := decodeTable(now, &m)
+	if !reflect.DeepEqual(received, sent) {
+		t.Errorf("received %+v, want %+v", received, sent)
+	}
+	if receivedHistory != history {
+		t.Errorf("received history %+v, want %+v", receivedHistory, history)
+	}
+}
+
 // Guards against a confirmation of readings that nobody measures any more, and against one
 // that makes a reading younger than it is.
 func TestConfirmationLeavesOutOldReadings(t *testing.T) {
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -210,7 +210,9 @@
 		return
 	}
 	for _, t := range p.syncer.cfg.Tables {
-		version, asOf, _ := t.State()
+		version, _, _ := t.State()
+		history := t.History()
+		asOf := history.AsOf
 		if version == 0 {
 			continue
 		}
@@ -231,7 +233,7 @@
 		p.mu.Lock()
 		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
 		p.mu.Unlock()
-		changes := encodeTable(now, t.Name(), c, asOf)
+		changes := encodeTable(now, t.Name(), c, history)
 		p.addProof(changes, proof)
 		m.Tables = append(m.Tables, changes)
 	}
@@ -259,7 +261,7 @@
 		p.mu.Lock()
 		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
 		p.mu.Unlock()
-		changes := encodeTable(now, t.Name(), c, asOf)
+		changes := encodeTable(now, t.Name(), c, t.ReadHistory())
 		p.addProof(changes, proof)
 		m.Tables = append(m.Tables, changes)
 	}
--- a/internal/statesync/peer.go
+++ b/internal/statesync/peer.go
@@ -204,8 +204,8 @@
 		if t.Name() != m.GetTable() {
 			continue
 		}
-		c, asOf := decodeTable(now, m)
-		if !t.Apply(c, asOf) {
+		c, history := decodeTable(now, m)
+		if !t.ApplyCopy(c, history) {
 			// The peer assumed that this VM's copy has a later version than it has.
 			p.mu.Lock()
 			p.knownTables[t.Name()] = tableState{}
@@ -214,7 +214,7 @@
 		}
 		p.applyProof(t, m, echoMs)
 		p.mu.Lock()
-		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
+		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: history.AsOf}
 		p.mu.Unlock()
 	}
 }
