--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -89,15 +89,19 @@
 		{"a process that starts after an outage", []step{{afterOutage(4000, 4000), time.Time{}, outage.Unchanged}, {afterOutage(4000, 9000), time.Time{}, outage.Unchanged}}},
 		{"a gap without an outage", []step{{unbroken(0, 1000), time.Time{}, outage.Unchanged}, {unbroken(4000, 4000), time.Time{}, outage.Unchanged}}},
 		{"an outage", []step{
-			{unbroken(0, 1000), time.Time{}, outage.Unchanged}, {afterOutage(4000, 4000), after(6200), outage.Began},
+			{unbroken(0, 1000), time.Time{}, outage.Unchanged},
+			{afterOutage(4000, 4000), after(6200), outage.Began},
 			{afterOutage(4000, 5000), after(6200), outage.Unchanged},
 		}},
 		{"a supposed outage", []step{
-			{unbroken(0, 1000), time.Time{}, outage.Unchanged}, {afterOutage(4000, 4000), after(6200), outage.Began},
-			{unbroken(0, 4300), time.Time{}, outage.Withdrawn}, {unbroken(0, 5000), time.Time{}, outage.Unchanged},
+			{unbroken(0, 1000), time.Time{}, outage.Unchanged},
+			{afterOutage(4000, 4000), after(6200), outage.Began},
+			{unbroken(0, 4300), time.Time{}, outage.Withdrawn},
+			{unbroken(0, 5000), time.Time{}, outage.Unchanged},
 		}},
 		{"two outages", []step{
-			{unbroken(0, 1000), time.Time{}, outage.Unchanged}, {afterOutage(4000, 4000), after(6200), outage.Began},
+			{unbroken(0, 1000), time.Time{}, outage.Unchanged},
+			{afterOutage(4000, 4000), after(6200), outage.Began},
 			{afterOutage(9000, 9000), after(11200), outage.Began},
 		}},
 	} {
