fleet: what is known of a server names its process

Callers saw nothing yet. After a restart of a server under its ID, a late reading of the former process, by this VM or a sibling, counted for the new one: a cold server could get requests like a warm one, a live one could count as unreachable or be quarantined for requests of its predecessor.

Cause: only registrations and notices in answers named the start of the process; readings, slowdowns, refused connections and results of requests named the ID alone.

Change: they name the process, and have no effect if another one is registered. In messages of siblings the number of a server stands for a process. The first reading of a new process is sent at once even if it equals the last one of its predecessor.

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -207,17 +207,17 @@
 func (c *candidates) Server(id string) (fleet.Server, bool) { return c.state.fleet.Server(id) }
 
 // RequestEnded implements front.ServerTracker.
-func (c *candidates) RequestEnded(id string, now time.Time, r fleet.Result) {
-	c.state.fleet.RequestEnded(id, now, r)
+func (c *candidates) RequestEnded(id string, incarnation uint64, now time.Time, r fleet.Result) {
+	c.state.fleet.RequestEnded(id, incarnation, now, r)
 	c.notifySiblings()
 }
 
 // ObserveSlowdown implements front.ServerTracker.
-func (c *candidates) ObserveSlowdown(id string, at time.Time, slowdown float64) {
-	c.state.fleet.ObserveSlowdown(id, at, slowdown)
+func (c *candidates) ObserveSlowdown(server fleet.Server, at time.Time, slowdown float64) {
+	c.state.fleet.ObserveSlowdown(server, at, slowdown)
 }
 
 // ConnectionRefused implements front.ServerTracker.
-func (c *candidates) ConnectionRefused(id string, at time.Time) {
-	c.state.fleet.Observe(id, fleet.Reading{At: at, Health: fleet.Unreachable, Misses: 1})
+func (c *candidates) ConnectionRefused(server fleet.Server, at time.Time) {
+	c.state.fleet.Observe(server.ID, fleet.Reading{At: at, Health: fleet.Unreachable, Misses: 1, Incarnation: server.Incarnation})
 }
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -297,6 +297,7 @@
 	p.notices.observe(s, received, answer.Notice)
 	previous, _ := p.state.fleet.Reading(s.ID)
 	r := nextReading(previous, sent, answer, err)
+	r.Incarnation = s.Incarnation
 	p.schedule(ps, &r, sent, received, err == nil && answer.Load != nil)
 	// Logged only if the health or the cold state has changed.
 	if previous.Health != r.Health || previous.Cold(sent) != r.Cold(sent) {
--- a/internal/entry/notices_test.go
+++ b/internal/entry/notices_test.go
@@ -49,6 +49,38 @@
 	}
 }
 
+// Guards against what is known of one process of a server that is taken for the next one's: readings
+// of this VM and of siblings, and results of requests that come late.
+func TestLateWordsOfAnEarlierProcessHaveNoEffect(t *testing.T) {
+	n := newNoticeTest()
+	former := n.servers[0]
+	n.state.fleet.RequestStarted("s-1", after(5))
+	present := former
+	present.Incarnation = 2
+	n.state.fleet.SetServers([]fleet.Server{present, n.servers[1]})
+	n.state.fleet.Observe("s-1", fleet.Reading{At: after(10), Health: fleet.Healthy, ColdFor: time.Second, Incarnation: 2})
+	n.state.fleet.RequestStarted("s-1", after(12))
+
+	n.state.fleet.Observe("s-1", fleet.Reading{At: after(20), Health: fleet.Healthy, Source: "sibling", Incarnation: 1})
+	n.ConnectionRefused(former, after(20))
+	n.ObserveSlowdown(former, after(20), 7)
+	n.ObserveNotice(former, after(20), fleet.Notice{Leaving: true})
+	for range 3 {
+		n.RequestEnded("s-1", 1, after(20), fleet.Failed)
+	}
+	v := n.state.fleet.Views(nil, "svc", after(21))[0]
+	if !v.Reading.Cold(after(21)) || v.Reading.Health != fleet.Healthy || v.Reading.Load.Slowdown == 7 {
+		t.Errorf("reading %+v, want that of the present process", v.Reading)
+	}
+	if v.InFlight != 1 || v.Quarantined || !v.LeavingSince.IsZero() {
+		t.Errorf("%d requests in progress, quarantined %v, leaving since %v; want one and neither", v.InFlight, v.Quarantined, v.LeavingSince)
+	}
+	n.RequestEnded("s-1", 2, after(22), fleet.Succeeded)
+	if v := n.state.fleet.Views(nil, "svc", after(23))[0]; v.InFlight != 0 {
+		t.Errorf("%d requests in progress at the present process, want none", v.InFlight)
+	}
+}
+
 // Guards against new requests to a server that says only in its answers that it leaves: its row
 // still says that it is ready.
 func TestLeavingServerGetsNoRequestsWhileAnotherHasRoom(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,6 +94,8 @@
 	// Source is the ID of the sibling that sent the reading; empty if this VM
 	// measured it.
 	Source string
+	// Incarnation is the start of the server's process that was measured, as in Server; 0: not stated.
+	Incarnation uint64
 }
 
 // AsOf returns the time of the latest measurement that gave these values.
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -162,13 +162,13 @@
 	return st.server, true
 }
 
-// Observe records a reading if the server is registered and the reading is newer
-// than the recorded one. It reports whether the reading was recorded.
+// Observe records a reading if the server is registered, with the process that was measured, and the
+// reading is newer than the recorded one. It reports whether the reading was recorded.
 func (t *ServerTable) Observe(id string, r Reading) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st, ok := t.servers[id]
-	if !ok || !r.At.After(st.reading.At) {
+	if !ok || !r.At.After(st.reading.At) || !st.isProcess(r.Incarnation) {
 		return false
 	}
 	if st.reading.Health == Unreachable && r.Health != Unreachable {
@@ -187,6 +187,12 @@
 	return true
 }
 
+// isProcess reports whether the process of the server with this incarnation is the registered one. An
+// incarnation of 0 is not known and may be the registered one.
+func (st *serverState) isProcess(incarnation uint64) bool {
+	return incarnation == 0 || incarnation == st.server.Incarnation
+}
+
 // Confirm records that the readings received from source still applied at the given
 // time, except those of the servers whose IDs are in except. Later readings and
 // confirmations are kept.
@@ -287,12 +293,12 @@
 
 // ObserveSlowdown records the slowdown that a server reported in its answer to a
 // request. It has no effect if the latest reading is not older than at or does not
-// show the server as healthy.
-func (t *ServerTable) ObserveSlowdown(id string, at time.Time, slowdown float64) {
+// show the server as healthy, or if another process of the server is registered.
+func (t *ServerTable) ObserveSlowdown(server Server, at time.Time, slowdown float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	st, ok := t.servers[id]
-	if ok && at.After(st.reading.At) && st.reading.Health == Healthy {
+	st, ok := t.servers[server.ID]
+	if ok && st.isProcess(server.Incarnation) && at.After(st.reading.At) && st.reading.Health == Healthy {
 		st.reading.Load.Slowdown = slowdown
 		t.revision++
 		st.readingRevision = t.revision
@@ -332,13 +338,14 @@
 	Neutral          // the result says nothing about the server, for instance because the caller closed the connection
 )
 
-// RequestEnded records the end of a request that this VM sent to a server. After
-// quarantineThreshold consecutive failures the server is quarantined.
-func (t *ServerTable) RequestEnded(id string, now time.Time, r Result) {
+// RequestEnded records the end of a request that this VM sent to a server, to the process with the
+// given incarnation (0: not known). After quarantineThreshold consecutive failures the server is
+// quarantined. It has no effect if another process is registered.
+func (t *ServerTable) RequestEnded(id string, incarnation uint64, now time.Time, r Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st, ok := t.servers[id]
-	if !ok {
+	if !ok || !st.isProcess(incarnation) {
 		return
 	}
 	st.inFlight = max(st.inFlight-1, 0)
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -55,8 +55,8 @@
 	if v := view(t, table, at(4)); v.Busy != 3 {
 		t.Errorf("busy %d after one own request started and one of a sibling ended, want 3", v.Busy)
 	}
-	table.RequestEnded("s", at(5), fleet.Succeeded)
-	table.RequestEnded("s", at(6), fleet.Succeeded)
+	table.RequestEnded("s", 0, at(5), fleet.Succeeded)
+	table.RequestEnded("s", 0, at(6), fleet.Succeeded)
 	if v := view(t, table, at(7)); v.Busy != 1 {
 		t.Errorf("busy %d with one request from another region left, want 1", v.Busy)
 	}
@@ -89,7 +89,7 @@
 	table := newTable()
 	for i := range 3 {
 		table.RequestStarted("s", at(i))
-		table.RequestEnded("s", at(i), fleet.Failed)
+		table.RequestEnded("s", 0, at(i), fleet.Failed)
 	}
 	if !view(t, table, at(10)).Quarantined {
 		t.Error("server not quarantined after three consecutive failures")
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -29,6 +29,7 @@
 	}
 	sent := time.Now()
 	q.sentAt = sent
+	q.incarnation = server.Incarnation
 	resp, err := cfg.ConnPool.Do(ctx, cfg.HeaderCodec, server, q.backendRequest())
 	if err != nil {
 		return q.handleExchangeError(ctx, server, sent, err)
@@ -36,7 +37,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	q.attempts++
 	if resp.Info.Load != nil {
-		cfg.Servers.ObserveSlowdown(id, time.Now(), resp.Info.Load.Slowdown)
+		cfg.Servers.ObserveSlowdown(server, time.Now(), resp.Info.Load.Slowdown)
 	}
 	if resp.Status != http.StatusMisdirectedRequest { // that is an answer of another server
 		cfg.Servers.ObserveNotice(server, time.Now(), resp.Info.Notice)
@@ -54,9 +55,9 @@
 
 // endAtServer records the result of the request at the server that has it.
 func (q *request) endAtServer(now time.Time, r fleet.Result) {
-	server := q.server
-	q.server = ""
-	q.h.cfg.Servers.RequestEnded(server, now, r)
+	server, incarnation := q.server, q.incarnation
+	q.server, q.incarnation = "", 0
+	q.h.cfg.Servers.RequestEnded(server, incarnation, now, r)
 	if q.h.cfg.OnAttempt == nil || q.sentAt.IsZero() {
 		return
 	}
@@ -138,7 +139,7 @@
 		return true
 	}
 	if exchangeErr.ConnRefused {
-		cfg.Servers.ConnectionRefused(server.ID, sent)
+		cfg.Servers.ConnectionRefused(server, sent)
 	}
 	q.logFailedAttempt(server, sent, "not-sent", err)
 	q.tried = append(q.tried, server.ID)
@@ -162,7 +163,7 @@
 		// Another server has taken over the address, so the request does not
 		// count as an attempt.
 		q.attempts--
-		cfg.Servers.ConnectionRefused(server.ID, sent)
+		cfg.Servers.ConnectionRefused(server, sent)
 		if q.failedDials++; q.failedDials < maxFailedDials && q.canResend() {
 			return false
 		}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -63,11 +63,13 @@
 // them. It must be safe for concurrent use.
 type ServerTracker interface {
 	Server(id string) (fleet.Server, bool)
-	RequestEnded(id string, now time.Time, r fleet.Result)
-	ObserveSlowdown(id string, at time.Time, slowdown float64)
+	// RequestEnded records the end of a request that was granted to the server with the given ID.
+	// incarnation is that of the process that got it; 0: none, or not known.
+	RequestEnded(id string, incarnation uint64, now time.Time, r fleet.Result)
+	ObserveSlowdown(server fleet.Server, at time.Time, slowdown float64)
 	// ConnectionRefused records that nothing listens at the address of a
 	// server.
-	ConnectionRefused(id string, at time.Time)
+	ConnectionRefused(server fleet.Server, at time.Time)
 	// ObserveNotice records what an answer of a server said of the server.
 	ObserveNotice(server fleet.Server, at time.Time, n fleet.Notice)
 	// ResumesAt returns the earliest time at which a server of a service takes requests again if
@@ -173,6 +175,7 @@
 	streamed bool        // bodyRest was given to a server, so the request cannot be sent again
 
 	server      string    // ID of the server that has the request at present; empty if none
+	incarnation uint64    // of the process of server to which it is sent; 0 before
 	sentAt      time.Time // start of the attempt at that server; zero if the request cannot have reached it
 	attempts    int       // number of times the request may have arrived at a server
 	failedDials int       // number of servers that could not be reached
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -178,13 +178,13 @@
 	return fleet.Server{}, false
 }
 
-func (s *fakeServers) RequestEnded(_ string, _ time.Time, r fleet.Result) {
+func (s *fakeServers) RequestEnded(_ string, _ uint64, _ time.Time, r fleet.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.results = append(s.results, r)
 }
-func (s *fakeServers) ObserveSlowdown(string, time.Time, float64) {}
-func (s *fakeServers) ConnectionRefused(string, time.Time)        {}
+func (s *fakeServers) ObserveSlowdown(fleet.Server, time.Time, float64) {}
+func (s *fakeServers) ConnectionRefused(fleet.Server, time.Time)        {}
 func (s *fakeServers) ObserveNotice(server fleet.Server, _ time.Time, n fleet.Notice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/statesync/fuzz_test.go
+++ b/internal/statesync/fuzz_test.go
@@ -14,6 +14,19 @@
 	"goldcresthinge.example/goldcresthinge/internal/suspendclock"
 )
 
+// newTestPeer returns this VM's end of a subscription of another VM of its failure domain.
+func newTestPeer(servers *fleet.ServerTable) *peer {
+	self := fleet.VM{ID: "self", FailureDomain: "a", Region: "r"}
+	syncer := New(Config{
+		Self: self, Servers: servers, Tables: []*replica.Table{replica.New("t", nil)}, Counts: counts.NewBoard(self.FailureDomain), Liveness: NewLiveness(),
+		VMs: func() []fleet.VM { return []fleet.VM{self} }, OnChange: func(bool) {}, RegionOf: func(string) string { return "r" },
+		NeededByRegion: func(string, string) bool { return true }, Clock: suspendclock.Now, ProveAge: func() bool { return true }, Logger: log.NewNopLogger(),
+	})
+	p := newPeer(syncer, fleet.VM{ID: "peer", FailureDomain: "a", Region: "r"}, nil)
+	p.peerSubscribed = true
+	return p
+}
+
 // Guards against a message of a faulty sibling that ends the process, or that is recorded as
 // a reading from the future, which no later one would replace.
 func FuzzApplyMessage(f *testing.F) {
@@ -37,16 +50,9 @@
 		if proto.Unmarshal(raw, m) != nil {
 			return
 		}
-		self := fleet.VM{ID: "self", FailureDomain: "a", Region: "r"}
 		servers := fleet.NewServerTable()
 		servers.SetServers([]fleet.Server{{ID: "s", Service: "svc", FailureDomain: "a", Slots: 2}})
-		syncer := New(Config{
-			Self: self, Servers: servers, Tables: []*replica.Table{replica.New("t", nil)}, Counts: counts.NewBoard(self.FailureDomain), Liveness: NewLiveness(),
-			VMs: func() []fleet.VM { return []fleet.VM{self} }, OnChange: func(bool) {}, RegionOf: func(string) string { return "r" },
-			NeededByRegion: func(string, string) bool { return true }, Clock: suspendclock.Now, ProveAge: func() bool { return true }, Logger: log.NewNopLogger(),
-		})
-		p := newPeer(syncer, fleet.VM{ID: "peer", FailureDomain: "a", Region: "r"}, nil)
-		p.peerSubscribed = true
+		p := newTestPeer(servers)
 		p.applyMessage(m)
 		now := time.Now()
 		if r, _ := servers.Reading("s"); r.AsOf().After(now) {
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		p.sentReadings[c.Server.ID] = c.Reading
-		m.Readings = append(m.Readings, encodeReading(now, p.number(c.Server.ID, m), c.Reading))
+		m.Readings = append(m.Readings, encodeReading(now, p.number(c.Server, m), c.Reading))
 	}
 }
 
@@ -81,14 +81,14 @@
 	}
 	asOf := make(map[uint32]time.Time, len(p.sentReadings))
 	for id := range p.sentReadings {
-		asOf[p.serverNumbers[id]] = time.Time{}
+		asOf[p.serverNumbers[id].number] = time.Time{}
 	}
 	all, _ := p.syncer.cfg.Servers.ChangedSince(p.readings[:0], 0)
 	p.readings = all
 	isRegionRelay := p.syncer.IsRegionRelay(now)
 	for _, c := range all {
 		if _, sent := p.sentReadings[c.Server.ID]; sent && p.sends(now, c, isRegionRelay) {
-			asOf[p.serverNumbers[c.Server.ID]] = c.Reading.AsOf()
+			asOf[p.serverNumbers[c.Server.ID].number] = c.Reading.AsOf()
 		}
 	}
 	m.Confirmed = encodeConfirmation(now, asOf)
@@ -105,16 +105,31 @@
 	return isRegionRelay && p.sameRegion && p.syncer.cfg.RegionOf(domain) != p.syncer.cfg.Self.Region
 }
 
-// number returns the number that stands for a server on this stream. It announces
-// the number in m when it is first used.
-func (p *peer) number(server string, m *siblingpb.News) uint32 {
-	n, ok := p.serverNumbers[server]
+// number returns the number that stands for the registered process of a server on this stream. It
+// announces the number in m when it is first used. A new process gets another number, so that what
+// was measured at the one before is not taken for its own.
+func (p *peer) number(server fleet.Server, m *siblingpb.News) uint32 {
+	n, ok := p.serverNumbers[server.ID]
+	if !ok || n.incarnation != server.Incarnation {
+		p.lastServerNumber++
+		n = numberedServer{p.lastServerNumber, server.Incarnation}
+		p.serverNumbers[server.ID] = n
+		m.Numbers = append(m.Numbers, &siblingpb.ServerNumber{Number: n.number, Server: server.ID, Incarnation: server.Incarnation})
+	}
+	return n.number
+}
+
+// anyNumber returns the latest number of a server, of whichever process. Requests in progress are
+// reported by server.
+func (p *peer) anyNumber(server string, m *siblingpb.News) uint32 {
+	if n, ok := p.serverNumbers[server]; ok {
+		return n.number
+	}
+	registered, ok := p.syncer.cfg.Servers.Server(server)
 	if !ok {
-		n = uint32(len(p.serverNumbers) + 1)
-		p.serverNumbers[server] = n
-		m.Numbers = append(m.Numbers, &siblingpb.ServerNumber{Number: n, Server: server})
+		registered.ID = server
 	}
-	return n
+	return p.number(registered, m)
 }
 
 // significantChange reports whether a reading must be sent before the next full set:
@@ -125,7 +140,7 @@
 // service's servers in this region is sent changes of health and cold state only.
 func (p *peer) significantChange(c fleet.ChangedReading) bool {
 	previous, r := p.sentReadings[c.Server.ID], c.Reading
-	if previous.Health != r.Health || coldEndChanged(previous, r) {
+	if previous.Health != r.Health || coldEndChanged(previous, r) || previous.Incarnation != r.Incarnation {
 		return true
 	}
 	if !p.sameRegion && !p.syncer.cfg.NeededByRegion(c.Server.Service, p.vm.Region) {
@@ -199,7 +214,7 @@
 	if n == 0 {
 		delete(p.sentInFlight, server)
 	}
-	m.InUse = append(m.InUse, &siblingpb.InUse{Number: p.number(server, m), Requests: clamp(n)})
+	m.InUse = append(m.InUse, &siblingpb.InUse{Number: p.anyNumber(server, m), Requests: clamp(n)})
 }
 
 // addTables adds the table rows that the other VM does not have. With a refresh it
--- a/internal/statesync/peer.go
+++ b/internal/statesync/peer.go
@@ -55,22 +55,35 @@
 	knownTables map[string]tableState // state of the other VM's copies, by table name
 
 	// The fields below are used by sendLoop only.
-	sentRevision     uint64                   // fleet.ServerTable revision up to which readings were sent
-	inFlightRevision uint64                   // the same for requests in progress
-	lastFullInFlight time.Time                // time when all requests in progress were last compared
-	readings         []fleet.ChangedReading   // buffer, so that not each message allocates one
-	lastFullReadings time.Time                // time when all readings were last sent
-	lastRefresh      time.Time                // time of the last message that was sent because a refresh was due
-	sentReadings     map[string]fleet.Reading // latest sent readings by server ID
-	sentInFlight     map[string]int           // sent numbers of requests in progress by server ID
-	serverNumbers    map[string]uint32        // numbers that stand for servers on this stream, by server ID
+	sentRevision     uint64                    // fleet.ServerTable revision up to which readings were sent
+	inFlightRevision uint64                    // the same for requests in progress
+	lastFullInFlight time.Time                 // time when all requests in progress were last compared
+	readings         []fleet.ChangedReading    // buffer, so that not each message allocates one
+	lastFullReadings time.Time                 // time when all readings were last sent
+	lastRefresh      time.Time                 // time of the last message that was sent because a refresh was due
+	sentReadings     map[string]fleet.Reading  // latest sent readings by server ID
+	sentInFlight     map[string]int            // sent numbers of requests in progress by server ID
+	serverNumbers    map[string]numberedServer // latest numbers that stand for servers on this stream, by server ID
+	lastServerNumber uint32
 	counts           sentCounts
 	sentProofs       map[string]suspendclock.Instant // latest proofs sent, by table name
 
 	echoMs atomic.Uint64 // sent_ms of the latest message of the other VM
 
 	subjectsByNumber map[uint32]counts.Subject // announced by the other VM; used by the receiving goroutine only
-	serversByNumber  map[uint32]string         // announced by the other VM; used by the receiving goroutine only
+	serversByNumber  map[uint32]serverProcess  // announced by the other VM; used by the receiving goroutine only
+}
+
+// serverProcess is a process of a server. Each start of a server has another incarnation; 0: not known.
+type serverProcess struct {
+	server      string
+	incarnation uint64
+}
+
+// numberedServer is the number that stands for the process of a server with an incarnation.
+type numberedServer struct {
+	number      uint32
+	incarnation uint64
 }
 
 // tableState is the version of a table's copy and the time as of which it is
@@ -87,7 +100,7 @@
 		syncer: syncer, vm: v, stream: stream, sameDomain: v.FailureDomain == syncer.cfg.Self.FailureDomain,
 		sameRegion: v.Region == syncer.cfg.Self.Region, inFlightKey: otherDomainPrefix + v.ID, wake: make(chan struct{}, 1),
 		done: make(chan struct{}), knownTables: map[string]tableState{}, sentReadings: map[string]fleet.Reading{},
-		sentInFlight: map[string]int{}, serverNumbers: map[string]uint32{}, serversByNumber: map[uint32]string{},
+		sentInFlight: map[string]int{}, serverNumbers: map[string]numberedServer{}, serversByNumber: map[uint32]serverProcess{},
 		sentProofs: map[string]suspendclock.Instant{}, counts: newSentCounts(), subjectsByNumber: map[uint32]counts.Subject{},
 	}
 	if p.sameDomain {
@@ -171,19 +184,22 @@
 		p.applyTable(now, t, m.GetEchoMs())
 	}
 	for _, n := range m.GetNumbers() {
-		p.serversByNumber[n.GetNumber()] = n.GetServer()
+		p.serversByNumber[n.GetNumber()] = serverProcess{n.GetServer(), n.GetIncarnation()}
 	}
 	for _, u := range m.GetInUse() {
-		p.syncer.cfg.Servers.SetPeerInFlight(p.inFlightKey, p.serversByNumber[u.GetNumber()], int(u.GetRequests()))
+		p.syncer.cfg.Servers.SetPeerInFlight(p.inFlightKey, p.serversByNumber[u.GetNumber()].server, int(u.GetRequests()))
 	}
 	for _, r := range m.GetReadings() {
-		p.syncer.cfg.Servers.Observe(p.serversByNumber[r.GetNumber()], decodeReading(now, r, p.vm.ID))
+		process := p.serversByNumber[r.GetNumber()]
+		reading := decodeReading(now, r, p.vm.ID)
+		reading.Incarnation = process.incarnation
+		p.syncer.cfg.Servers.Observe(process.server, reading)
 	}
 	p.applyCounts(now, m)
 	if c := m.GetConfirmed(); c != nil {
 		except := make(map[string]bool, len(c.GetExcept()))
 		for _, n := range c.GetExcept() {
-			except[p.serversByNumber[n]] = true
+			except[p.serversByNumber[n].server] = true
 		}
 		p.syncer.cfg.Servers.Confirm(p.vm.ID, now.Add(-milliseconds(c.GetAgeMs())), except)
 	}
