registration: a row that comes back needs a measurement

Callers saw nothing yet. A heartbeat that the store does late, after the server's row was removed, may have a higher sequence than any that was read, so its order does not show that it is late. The server that has left would have got requests at once, also if it had said in its answers that it leaves or wants a pause, since that was dropped with the row.

Change: a process whose row comes back gets no request until a measurement sent after that shows it as healthy; a server that leaves fails its health checks. A row that outlives its expiry needs none. What answers have said is kept while a process is not registered.

Why live servers are not hurt: servers are measured as soon as they are registered, and the result is sent to siblings at once. Rows that lapse in an outage are not concerned, and new processes are not either.

Evidence: without the two checks, entries of TestServersWhoseRowsComeBack fail (those for a notice, a missing and a failed measurement).

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -117,6 +117,9 @@
 			slices.Contains(a.Tried, v.Server.ID) || now.Before(v.PausedUntil) {
 			continue
 		}
+		if c.unconfirmed(v) {
+			continue
+		}
 		leaves := !v.LeavingSince.IsZero()
 		if leaves && !mayServeUntilDrained(v, now, drainTimeout) {
 			continue
@@ -155,6 +158,21 @@
 	return out
 }
 
+// unconfirmed reports whether the row of a server is there again after it was removed and no measurement has
+// shown since that the server stays. A server that leaves fails its health checks.
+func (c *candidates) unconfirmed(v *fleet.View) bool {
+	at := v.Server.ReturnedAt
+	if at.IsZero() || v.Reading.Health == fleet.Healthy && v.Reading.At.After(at) {
+		return false
+	}
+	routes := c.routes()
+	if routes == nil {
+		return true
+	}
+	svc, ok := routes.Service(v.Server.Service)
+	return ok && svc.HealthPath != ""
+}
+
 func (c *candidates) distance(domain, region string) placement.Distance {
 	switch {
 	case domain == c.state.self.FailureDomain:
--- a/internal/entry/notices_test.go
+++ b/internal/entry/notices_test.go
@@ -49,6 +49,44 @@
 	}
 }
 
+// Guards against a server that has left, and whose row comes back because the store has done one of its
+// heartbeats late: what its answers have said counts, and without a measurement it gets nothing. A live
+// server, or a new process, is used.
+func TestServersWhoseRowsComeBack(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		notice fleet.Notice
+		server func(s *fleet.Server)
+		health fleet.Health // measured after the row has come back
+		want   []string
+	}{
+		{"it has said that it leaves", fleet.Notice{Leaving: true}, func(*fleet.Server) {}, fleet.Healthy, []string{"s-2"}},
+		{"it has asked for a pause", fleet.Notice{Pause: time.Minute}, func(*fleet.Server) {}, fleet.Healthy, []string{"s-2"}},
+		{"it was not measured", fleet.Notice{}, func(*fleet.Server) {}, fleet.Unmeasured, []string{"s-2"}},
+		{"its health check fails", fleet.Notice{}, func(*fleet.Server) {}, fleet.Unhealthy, []string{"s-2"}},
+		{"it is healthy", fleet.Notice{}, func(*fleet.Server) {}, fleet.Healthy, []string{"s-1", "s-2"}},
+		{"it was not measured, but came back long ago", fleet.Notice{}, func(s *fleet.Server) { s.ReturnedAt = time.Time{} }, fleet.Unmeasured, []string{"s-1", "s-2"}},
+		{"a new process after one that has left", fleet.Notice{Leaving: true}, func(s *fleet.Server) {
+			s.Incarnation, s.ReturnedAt = 2, time.Time{}
+		}, fleet.Unmeasured, []string{"s-1", "s-2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNoticeTest()
+			n.state.routes.Store(routing.NewTable(&routing.Configuration{Services: map[string]routing.Service{"svc": {Name: "svc", HealthPath: "/health"}}}))
+			n.ObserveNotice(n.servers[0], after(10), c.notice)
+			n.state.fleet.SetServers(n.servers[1:])
+			back := n.servers[0]
+			back.ReturnedAt = after(20)
+			c.server(&back)
+			n.state.fleet.SetServers([]fleet.Server{back, n.servers[1]})
+			if c.health != fleet.Unmeasured {
+				n.state.fleet.Observe("s-1", fleet.Reading{At: after(30), Health: c.health, Incarnation: back.Incarnation})
+			}
+			n.expect(t, 40, c.want...)
+		})
+	}
+}
+
 // Guards against what is known of one process of a server that is taken for the next one's: readings
 // of this VM and of siblings, and results of requests that come late.
 func TestLateWordsOfAnEarlierProcessHaveNoEffect(t *testing.T) {
--- a/internal/fleet/availability.go
+++ b/internal/fleet/availability.go
@@ -18,6 +18,45 @@
 	pauseEnded   bool      // the end of the latest pause has been returned by EndedPauses
 }
 
+// maxRemovedProcesses bounds ServerTable.removed.
+const maxRemovedProcesses = 1024
+
+// removedProcess is a process of a server that is no longer registered.
+type removedProcess struct {
+	availability
+	incarnation uint64
+	address     string
+}
+
+// rememberRemoved keeps what the processes have said that are not among servers. The caller must hold
+// mu.
+func (t *ServerTable) rememberRemoved(servers []Server) {
+	registered := make(map[string]Server, len(servers))
+	for _, s := range servers {
+		registered[s.ID] = s
+	}
+	for id, st := range t.servers {
+		s, ok := registered[id]
+		if ok && s.Incarnation == st.server.Incarnation && s.Address == st.server.Address || st.availability == (availability{}) {
+			continue
+		}
+		if t.removed == nil || len(t.removed) >= maxRemovedProcesses {
+			t.removed = map[string]removedProcess{}
+		}
+		t.removed[id] = removedProcess{st.availability, st.server.Incarnation, st.server.Address}
+	}
+}
+
+// restore returns what a process that is registered again has said before. The caller must hold mu.
+func (t *ServerTable) restore(s Server) availability {
+	p, ok := t.removed[s.ID]
+	if !ok || p.incarnation != s.Incarnation || p.address != s.Address {
+		return availability{}
+	}
+	delete(t.removed, s.ID)
+	return p.availability
+}
+
 // ObserveNotice records what an answer of a server said at now. It has no effect if the server is
 // no longer registered with the process that sent the answer. It reports whether the server's
 // leaving or a pause begins with it; a longer pause extends the one that has begun, and a shorter
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,14 +26,18 @@
 	Incarnation uint64
 	// Sequence grows with each registration that one process of the server writes; 0: not known.
 	Sequence uint64
+	// ReturnedAt is the time of the read in which the row of the same process was there again after it
+	// had been removed, unless that was long ago; zero otherwise. The process may have left all the
+	// same, and the store may have done one of its heartbeats late. A measurement tells.
+	ReturnedAt time.Time
 }
 
 // SameState reports whether two registrations of a server are equivalent for
 // placement. ColdFor decreases with each heartbeat, so only whether it is zero
-// is compared. Sequence is ignored.
+// is compared. Sequence and ReturnedAt are ignored.
 func (s Server) SameState(o Server) bool {
 	s.ColdFor, o.ColdFor = min(s.ColdFor, 1), min(o.ColdFor, 1)
-	s.Sequence = o.Sequence
+	s.Sequence, s.ReturnedAt = o.Sequence, o.ReturnedAt
 	return s == o
 }
 
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -35,6 +35,9 @@
 	// inFlightRevision is incremented with each change of the requests in progress.
 	inFlightRevision uint64
 	setCount         uint64 // see SetCount
+	// removed holds what the answers of processes have said that are no longer registered, by server
+	// ID. It is for those whose rows come back.
+	removed map[string]removedProcess
 }
 
 // serverState is the state of one server as known to this VM.
@@ -73,19 +76,21 @@
 func NewServerTable() *ServerTable { return &ServerTable{servers: map[string]*serverState{}} }
 
 // SetServers replaces the set of registered servers. A server that was registered
-// before keeps its state, unless its incarnation or address has changed.
+// before keeps its state, unless its incarnation or address has changed. What its answers have said
+// is kept also while it is not registered.
 func (t *ServerTable) SetServers(servers []Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.replaces(servers) {
 		t.setCount++
 	}
+	t.rememberRemoved(servers)
 	known := make(map[string]*serverState, len(servers))
 	t.order = t.order[:0]
 	for _, s := range servers {
 		st, ok := t.servers[s.ID]
 		if !ok || st.server.Incarnation != s.Incarnation || st.server.Address != s.Address {
-			st = &serverState{}
+			st = &serverState{availability: t.restore(s)}
 			t.inFlightChanged(st)
 		}
 		st.server = s
@@ -134,8 +139,8 @@
 		if !ok {
 			return true
 		}
-		s.Draining, s.ColdFor, s.Sequence = st.server.Draining, st.server.ColdFor, st.server.Sequence
-		if s != st.server {
+		s.Draining, s.ColdFor = st.server.Draining, st.server.ColdFor
+		if !s.SameState(st.server) {
 			return true
 		}
 	}
--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -19,9 +19,12 @@
 // clock from which it takes its start may have been set back.
 const missedHeartbeats = 3
 
-// maxRememberedDrains is the number of processes that drain above which those without a row are
-// forgotten.
-const maxRememberedDrains = 4096
+// maxRemembered is the number of processes that drain, and of those that are gone, above which they
+// are forgotten unless they have a row.
+const maxRemembered = 4096
+
+// assumedHeartbeatInterval is used where the interval is not known.
+const assumedHeartbeatInterval = 2 * time.Second
 
 // Older reports whether registration a of a server was written before b or is the same one. Entries
 // without a sequence are not ordered within a start of the server.
@@ -75,6 +78,8 @@
 	lapsed     map[string]time.Time    // end of the time for which a server without a row stays in use
 	heldSince  map[string]time.Time    // time as of which a row was first found to be superseded
 	draining   map[string]uint64       // incarnations that have said that they drain
+	gone       map[string]uint64       // incarnations whose rows are no longer there
+	returnedAt map[string]time.Time    // see fleet.Server
 	unreadable map[string]bool         // rows whose errors were reported
 }
 
@@ -83,13 +88,15 @@
 	return &Book{
 		HeartbeatInterval: heartbeatInterval,
 		inUse:             map[string]fleet.Server{}, lapsed: map[string]time.Time{}, heldSince: map[string]time.Time{},
-		draining: map[string]uint64{}, unreadable: map[string]bool{},
+		draining: map[string]uint64{}, gone: map[string]uint64{}, returnedAt: map[string]time.Time{}, unreadable: map[string]bool{},
 	}
 }
 
 // Pending reports whether Update has to be called again although no row changes, because a decision
 // depends on time.
-func (b *Book) Pending() bool { return len(b.lapsed) > 0 || len(b.heldSince) > 0 }
+func (b *Book) Pending() bool {
+	return len(b.lapsed) > 0 || len(b.heldSince) > 0 || len(b.returnedAt) > 0
+}
 
 // Update takes all rows of the registry as of a time and returns the servers in use and what has
 // changed. Servers whose rows are missing stay in use until lapseEnd, if that is after now.
@@ -119,7 +126,7 @@
 				events = append(events, Event{Kind: HeldBack, ID: row.ID, Server: s})
 			}
 			held[row.ID] = since
-			if !b.isWrittenAgain(asOf.Sub(since)) {
+			if !b.outlivesExpiry(asOf.Sub(since)) {
 				s, registered = row.Latest, !row.LatestRemoved
 			}
 		}
@@ -128,13 +135,19 @@
 		}
 		s = b.keepDraining(s)
 		delete(b.lapsed, s.ID)
-		if old, ok := previous[s.ID]; !ok || !old.SameState(s) {
+		old, ok := previous[s.ID]
+		if old.Incarnation != s.Incarnation {
+			delete(b.returnedAt, s.ID)
+		}
+		s.ReturnedAt = b.returned(asOf, s, ok)
+		if !ok || !old.SameState(s) {
 			events = append(events, Event{Kind: Registered, ID: s.ID, Server: s})
 		}
 		use(s)
 	}
 	b.heldSince = held
-	b.forgetDrains()
+	forget(b.draining, b.inUse)
+	forget(b.gone, b.inUse)
 	for id, s := range previous {
 		if _, ok := b.inUse[id]; ok {
 			continue
@@ -148,30 +161,52 @@
 			continue
 		}
 		delete(b.lapsed, id)
+		delete(b.returnedAt, id)
+		b.gone[id] = s.Incarnation
 		events = append(events, Event{Kind: Gone, ID: id, Server: s})
 	}
 	return servers, events
 }
 
-// isWrittenAgain reports whether a row that has been superseded for the given time must have been
-// written again in that time, since it would have expired otherwise.
-func (b *Book) isWrittenAgain(held time.Duration) bool {
+// outlivesExpiry reports whether a row that has been there for the given time must have been written
+// again in that time, since it would have expired otherwise.
+func (b *Book) outlivesExpiry(age time.Duration) bool {
 	interval := b.HeartbeatInterval()
-	return interval > 0 && held > (missedHeartbeats+1)*interval
+	if interval <= 0 {
+		interval = assumedHeartbeatInterval
+	}
+	return age > (missedHeartbeats+1)*interval
 }
 
-// forgetDrains bounds the memory for servers that drain.
-func (b *Book) forgetDrains() {
-	if len(b.draining) <= maxRememberedDrains {
+// forget removes servers that are not in use from incarnations if there are more than maxRemembered.
+func forget(incarnations map[string]uint64, inUse map[string]fleet.Server) {
+	if len(incarnations) <= maxRemembered {
 		return
 	}
-	for id := range b.draining {
-		if _, ok := b.inUse[id]; !ok {
-			delete(b.draining, id)
+	for id := range incarnations {
+		if _, ok := inUse[id]; !ok {
+			delete(incarnations, id)
 		}
 	}
 }
 
+// returned returns fleet.Server.ReturnedAt of a server whose row is there as of a time. inUse is true
+// if the server was in use before.
+func (b *Book) returned(asOf time.Time, s fleet.Server, inUse bool) time.Time {
+	if incarnation, ok := b.gone[s.ID]; ok {
+		delete(b.gone, s.ID)
+		if incarnation == s.Incarnation && !inUse {
+			b.returnedAt[s.ID] = asOf
+		}
+	}
+	at, ok := b.returnedAt[s.ID]
+	if ok && b.outlivesExpiry(asOf.Sub(at)) {
+		delete(b.returnedAt, s.ID)
+		return time.Time{}
+	}
+	return at
+}
+
 // keepDraining returns s as draining if the same process has said so before.
 func (b *Book) keepDraining(s fleet.Server) fleet.Server {
 	if s.Draining {
--- a/internal/registration/registration_test.go
+++ b/internal/registration/registration_test.go
@@ -23,6 +23,12 @@
 	return fleet.Server{ID: "x", Service: "svc", Address: "10.0.0.1:1", Incarnation: start, Sequence: sequence, Draining: draining}
 }
 
+// returned is a server whose row came back.
+func returned(s fleet.Server, ms int) fleet.Server {
+	s.ReturnedAt = after(ms)
+	return s
+}
+
 func row(s fleet.Server) []registration.Row { return []registration.Row{{ID: s.ID, Server: s}} }
 
 // superseded is the row of a late write.
@@ -72,13 +78,20 @@
 		}, server(6, 1, false)},
 		{"an expired row that its server writes again", [][]registration.Row{
 			row(server(5, 6, false)), nil, row(server(5, 7, false)),
-		}, server(5, 7, false)},
+		}, returned(server(5, 7, false), 2000)},
 		{"a new process after one that drained", [][]registration.Row{
 			row(server(5, 6, true)), nil, row(server(6, 1, false)),
 		}, server(6, 1, false)},
 		{"a later entry of a process that drains", [][]registration.Row{
 			row(server(5, 6, true)), nil, row(server(5, 7, false)),
-		}, server(5, 7, true)},
+		}, returned(server(5, 7, true), 2000)},
+		{"a new process after one that returned", [][]registration.Row{
+			row(server(5, 6, false)), nil, row(server(5, 7, false)), row(server(6, 1, false)),
+		}, server(6, 1, false)},
+		{"a row that has returned and stays", [][]registration.Row{
+			row(server(5, 6, false)), nil, row(server(5, 7, false)), row(server(5, 8, false)), row(server(5, 9, false)),
+			row(server(5, 9, false)), row(server(5, 10, false)), row(server(5, 11, false)), row(server(5, 11, false)), row(server(5, 12, false)),
+		}, server(5, 12, false)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBook()
