soak: late heartbeats, and connections that all go silent

Each run now has a fault in which all connections between VMs, to the store and to servers go silent, and two departures in which the store does an earlier heartbeat of the server late.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -339,6 +339,55 @@
 	}},
 }
 
+// silentConnections lets all open connections of the VMs to the store, to each other and to the servers
+// go silent for good, while new ones work, and a server leave at the same time. When that server may no
+// longer get requests is not checked, since the fault has just been; internal/entry does.
+var silentConnections = []action{{"all connections go silent", func(cl *cluster, rng *rand.Rand, _ time.Duration) error {
+	end := cl.checker.beginFault()
+	for _, v := range cl.allVMs() {
+		v.siblingLink.Blackhole()
+		v.storeLink.Blackhole()
+	}
+	for _, ep := range cl.serverEndpoints {
+		ep.link.Blackhole()
+	}
+	end()
+	return cl.replaceServer(rng)
+}}}
+
+// lateHeartbeats let the store do a heartbeat of a server late, after the server has reported that it
+// drains or its row was removed.
+var lateHeartbeats = []action{{"late heartbeat of a server that leaves", func(cl *cluster, rng *rand.Rand, _ time.Duration) error {
+	ep := cl.serverEndpoints[rng.IntN(len(cl.serverEndpoints))]
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	old := ep.server
+	late := cl.store.Get(platform.TableServers, old.ID)
+	if err := old.Register(cl.store); err != nil {
+		return err
+	}
+	time.Sleep(drainTimeout) // the VMs have read the later heartbeat
+	old.SetLeaving(true)
+	reports := rng.IntN(2) == 0
+	if reports {
+		if err := old.Register(cl.store); err != nil {
+			return err
+		}
+	} else {
+		cl.store.Remove(platform.TableServers, old.ID)
+	}
+	end := cl.checker.beginExclusion(exclusion{server: old.ID}, drainTimeout)
+	time.Sleep(drainTimeout)
+	if late != nil {
+		cl.store.PutRaw(platform.TableServers, old.ID, late)
+	}
+	time.Sleep(drainTimeout)
+	end()
+	old.Close()
+	cl.store.Remove(platform.TableServers, old.ID)
+	return cl.startServer(ep, old.Service, coldDuration)
+}}}
+
 // terminateVM stops the process of a VM as the platform does; supervise starts a new one.
 // It records a violation if the process does not end within its grace period and there
 // was no unplanned fault meanwhile.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,9 @@
 // answerFaultStream is the random number stream of answerFaults.
 const answerFaultStream = 2
 
+// registryStream is the random number stream of silentConnections and lateHeartbeats.
+const registryStream = 4
+
 // crowdStream is the random number stream of crowdFaults.
 const crowdStream = 3
 
@@ -62,6 +65,7 @@
 	1796376475, // same cause as 1796376473
 	5001,       // a repeated refusal of a health check was taken for that of a request that ran: refused as not run
 	5002,       // same cause as 5001: the request also ran at a second server
+	4302,       // a heartbeat that the store did late made a server that drained ready again
 	9105,       // a version with eight times the usual service time was completed
 }
 
@@ -133,7 +137,13 @@
 		t.Error(err)
 	}
 	time.Sleep(faultSettleTime)
-	cl.runEvents(drawEvents(rng, plannedActions, 8, plannedPhaseLength, maxFaultDuration), t.Logf)
+	registryRNG := rand.New(rand.NewPCG(seed, registryStream)) //nolint:gosec // no secret
+	cl.runEvents(drawEvents(registryRNG, silentConnections, 1, time.Second, maxFaultDuration), t.Logf)
+	time.Sleep(faultSettleTime)
+	cl.runEvents(slices.Concat(
+		drawEvents(rng, plannedActions, 8, plannedPhaseLength, maxFaultDuration),
+		drawEvents(registryRNG, lateHeartbeats, 2, plannedPhaseLength, maxFaultDuration),
+	), t.Logf)
 	if err := cl.clearFaults(); err != nil {
 		t.Error(err)
 	}
