outage: the delay of a message does not withdraw an outage

Callers saw slightly more failures after an outage in which rows lapsed: live servers were dropped for 0.1 s.

Cause: the end of an outage reaches a VM as an age in messages. A message that was on the way for a shorter time gives a time that is a fraction of a millisecond earlier, and any earlier time counted as proof that a sibling had read the store throughout.

Change: only reads from before the outage on are that proof.

A step of TestWatch with an earlier time failed before and passes.

--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -82,24 +82,25 @@
 // Watch follows the history of a copy and tells for how long rows that are missing may have expired in
 // an outage. The zero value is ready for use.
 type Watch struct {
-	seen  History
-	since time.Time // History.Since of the latest outage, while its end is recent
-	until time.Time
+	seen   History
+	before time.Time // time of the latest read before the latest outage
+	until  time.Time
 }
 
 // Update takes the present history into account. It returns the time until which servers whose rows
 // are missing may stay in use, which is gracePeriod after the first read that followed the latest
 // outage, and whether that time was set or withdrawn by this call. It is withdrawn once a sibling is
-// known to have read the store throughout.
+// known to have read the store throughout. The delays of messages differ, so History.Since may become
+// slightly earlier also after an outage.
 func (w *Watch) Update(h History, gracePeriod time.Duration) (until time.Time, change Change) {
 	previous := w.seen
 	w.seen = h
 	switch {
 	case previous.AsOf.IsZero():
 	case h.AfterOutage && h.Since.After(previous.AsOf):
-		w.since, w.until = h.Since, h.Since.Add(gracePeriod)
+		w.before, w.until = previous.AsOf, h.Since.Add(gracePeriod)
 		return w.until, Began
-	case !w.until.IsZero() && h.Since.Before(w.since):
+	case !w.until.IsZero() && !h.Since.After(w.before):
 		w.until = time.Time{}
 		return w.until, Withdrawn
 	}
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -91,7 +91,7 @@
 		{"an outage", []step{
 			{unbroken(0, 1000), time.Time{}, outage.Unchanged},
 			{afterOutage(4000, 4000), after(6200), outage.Began},
-			{afterOutage(4000, 5000), after(6200), outage.Unchanged},
+			{afterOutage(3998, 5000), after(6200), outage.Unchanged}, // a message that was on the way for a shorter time
 		}},
 		{"a supposed outage", []step{
 			{unbroken(0, 1000), time.Time{}, outage.Unchanged},
