--- a/internal/entry/registration_test.go
+++ b/internal/entry/registration_test.go
@@ -77,14 +77,32 @@
 	return uses[0]
 }
 
+// useTest is how server x is to be used after rows were read one by one.
+type useTest struct {
+	name string
+	rows []replica.Row
+	want string
+}
+
+func checkUse(t *testing.T, tests []useTest) {
+	t.Helper()
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			vms := newRelayedVMs()
+			for _, r := range c.rows {
+				vms.read(r)
+			}
+			if got := vms.use(t); got != c.want {
+				t.Errorf("the server is %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against rows that replace what a server has written since: a heartbeat that the store does
 // late makes a draining server ready, or brings back one that has left or an earlier process.
 func TestLateHeartbeatsHaveNoEffect(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		rows []replica.Row
-		want string
-	}{
+	checkUse(t, []useTest{
 		{"after it drains", []replica.Row{
 			heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 5, 5, "ready"), heartbeatRow(4, 5, 6, "draining"), heartbeatRow(5, 5, 3, "ready"),
 		}, "draining"},
@@ -103,27 +121,13 @@
 		{"after a new process has left", []replica.Row{
 			heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 6, 1, "ready"), removedRow(4), heartbeatRow(5, 5, 9, "ready"),
 		}, "gone"},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			vms := newRelayedVMs()
-			for _, r := range c.rows {
-				vms.read(r)
-			}
-			if got := vms.use(t); got != c.want {
-				t.Errorf("the server is %s, want %s", got, c.want)
-			}
-		})
-	}
+	})
 }
 
 // Guards against live servers that are not used because their rows are taken for late writes: one
 // whose row expired while it was silent, and one that starts again under its ID and counts anew.
 func TestLiveServersAreUsedAgain(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		rows []replica.Row
-		want string
-	}{
+	checkUse(t, []useTest{
 		{"its expired row is written again", []replica.Row{
 			heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 5, 4, "ready"), removedRow(4), heartbeatRow(5, 5, 5, "ready"),
 		}, "ready since 5"},
@@ -137,17 +141,7 @@
 		{"an unreadable row in between", []replica.Row{
 			heartbeatRow(2, 5, 4, "ready"), {Key: "x", Value: []byte("{"), Version: 3}, heartbeatRow(4, 5, 5, "ready"),
 		}, "ready since 5"},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			vms := newRelayedVMs()
-			for _, r := range c.rows {
-				vms.read(r)
-			}
-			if got := vms.use(t); got != c.want {
-				t.Errorf("the server is %s, want %s", got, c.want)
-			}
-		})
-	}
+	})
 }
 
 // Guards against a server that the registry replaces, for its requests, measurements and connections,
