replica: a started process learns which values were the latest

Callers' requests went to servers that had left, from VMs that had just started: 2.9 to 3.7 s after the departure, if the store had done a heartbeat of the server late before the start. All were answered.

Cause: a new process reads the registry itself, and the late row was all that it knew of the server. Its relay knew better but sent nothing, as both copies had the same version, and an older copy was ignored.

Change: the first message on a stream has the whole tables, with the rows that were removed last. From a copy that is not newer, the latest values are taken over.

Evidence: TestStartedProcessLearnsTheLatestValue (4 of 5 entries) and TestStartedVMLearnsWhichServersHaveLeft failed before and pass now.

--- a/internal/entry/registration_test.go
+++ b/internal/entry/registration_test.go
@@ -124,6 +124,23 @@
 	})
 }
 
+// Guards against a VM that has started after a late write and uses the server that has left, although
+// its relay knows better.
+func TestStartedVMLearnsWhichServersHaveLeft(t *testing.T) {
+	vms := newRelayedVMs()
+	for _, r := range []replica.Row{heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 5, 5, "draining"), heartbeatRow(4, 5, 3, "ready")} {
+		vms.read(r)
+	}
+	started := newTestState()
+	started.registry.Apply(replica.Changes{Full: true, Version: 4, Rows: []replica.Row{heartbeatRow(4, 5, 3, "ready")}}, after(vms.ms))
+	started.refresh(after(vms.ms))
+	started.registry.Apply(vms.reader.registry.Since(0), after(vms.ms))
+	started.refresh(after(vms.ms + 1))
+	if s, ok := started.fleet.Server("x"); !ok || !s.Draining {
+		t.Errorf("server %+v (%v), want one that drains", s, ok)
+	}
+}
+
 // Guards against live servers that are not used because their rows are taken for late writes: one
 // whose row expired while it was silent, and one that starts again under its ID and counts anew.
 func TestLiveServersAreUsedAgain(t *testing.T) {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -67,10 +68,16 @@
 	reportedVersions map[string]uint64
 }
 
-// decodedRow is a row of the registry in the version for which it was decoded.
+// decodedRow is a row of the registry and what was decoded from it.
 type decodedRow struct {
-	version uint64
-	row     registration.Row
+	stored replica.Row
+	row    registration.Row
+}
+
+// isOf reports whether the decoded row is that of r. A sibling may tell the latest value of a row later
+// than its version.
+func (d decodedRow) isOf(r replica.Row) bool {
+	return d.stored.Version == r.Version && d.stored.LatestRemoved == r.LatestRemoved && bytes.Equal(d.stored.Latest, r.Latest)
 }
 
 func newDeploymentState(self fleet.VM, logger log.Logger) *deploymentState {
@@ -260,8 +267,8 @@
 	registered := make([]registration.Row, 0, len(rows))
 	for _, row := range rows {
 		entry, ok := d.decodedRows[row.Key]
-		if !ok || entry.version != row.Version {
-			entry = decodedRow{row.Version, decodeRegistration(row)}
+		if !ok || !entry.isOf(row) {
+			entry = decodedRow{row, decodeRegistration(row)}
 		}
 		decoded[row.Key] = entry
 		registered = append(registered, entry.row)
--- a/internal/replica/order_test.go
+++ b/internal/replica/order_test.go
@@ -86,6 +86,46 @@
 	}
 }
 
+// Guards against a process that reads the table after its start, takes a late write for the latest
+// state, and does not learn otherwise from the copy of a sibling, be that older or newer.
+func TestStartedProcessLearnsTheLatestValue(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		sibling     []replica.Row // read one by one
+		own         []replica.Row // the same for the started process, which reads the table as of version 9
+		wantLatest  string
+		wantRemoved bool
+	}{
+		{"the sibling has read the late write", []replica.Row{row("x", "6 leaving", 6), row("x", "4 ready", 9)}, []replica.Row{row("x", "4 ready", 9)}, "6 leaving", false},
+		{"the sibling has not read the late write", []replica.Row{row("x", "6 leaving", 6)}, []replica.Row{row("x", "4 ready", 9)}, "6 leaving", false},
+		{"the sibling has read the removal", []replica.Row{row("x", "6 ready", 6), removal(7)}, []replica.Row{row("x", "4 ready", 9)}, "6 ready", true},
+		{"the sibling has read neither", []replica.Row{row("x", "6 ready", 6)}, []replica.Row{row("x", "4 ready", 11)}, "6 ready", true},
+		{"the sibling knows less", []replica.Row{row("x", "4 ready", 4)}, []replica.Row{row("x", "6 leaving", 9)}, "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sibling, own := newOrdered(), newOrdered()
+			sibling.Apply(replica.Changes{Full: true, Version: 1}, epoch)
+			for _, r := range c.sibling {
+				version, _, _ := sibling.State()
+				sibling.Apply(replica.Changes{BaseVersion: version, Version: r.Version, Rows: []replica.Row{r}}, epoch)
+			}
+			whole := replica.Changes{Full: true, Version: 9}
+			if c.own[0].Version <= 9 {
+				whole.Rows = c.own
+			}
+			own.Apply(whole, epoch)
+			own.Apply(sibling.Since(0), epoch)
+			if len(whole.Rows) == 0 {
+				own.Apply(replica.Changes{BaseVersion: 9, Version: c.own[0].Version, Rows: c.own}, epoch)
+			}
+			got, ok := own.Get("x")
+			if !ok || string(got.Latest) != c.wantLatest || got.LatestRemoved != c.wantRemoved {
+				t.Errorf("row %q with latest %q, removed %v; want latest %q, removed %v", got.Value, got.Latest, got.LatestRemoved, c.wantLatest, c.wantRemoved)
+			}
+		})
+	}
+}
+
 // Guards against late writes, however they fall between reads and messages, after which a copy goes
 // back behind what it has seen. A writer writes the row with growing sequences; some writes are done
 // late, also after the row was removed.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -6,6 +6,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,10 @@
 // is sent only the changes instead of the whole table.
 const maxTombstones = 1024
 
+// maxSentTombstones is the number of removed rows that are sent with a whole table. The store does a
+// write late by some seconds at most, and few servers leave in that time.
+const maxSentTombstones = 64
+
 // Row is a row of a table.
 type Row struct {
 	Key     string
@@ -125,7 +131,7 @@
 // changes nothing if the changes start from a version that the copy has not
 // reached, or if nothing was read yet and the changes are not the whole table.
 // If Apply returns false, the caller must obtain the whole table. For changes older
-// than the copy it returns true and does nothing.
+// than the copy it returns true and takes over only which values were the latest.
 func (t *Table) Apply(c Changes, asOf time.Time) bool {
 	return t.ApplyCopy(c, outage.History{AsOf: asOf, Since: asOf})
 }
@@ -139,6 +145,9 @@
 	}
 	if c.Version < t.version {
 		// The copy is already newer.
+		for _, r := range c.Rows {
+			t.learnLatest(r)
+		}
 		return true
 	}
 	if c.Full {
@@ -179,6 +188,7 @@
 func (t *Table) merge(r Row) {
 	old, ok := t.rows[r.Key]
 	if ok && r.Version <= old.Version {
+		t.learnLatest(r)
 		return
 	}
 	e := entry{Row: r, changedVersion: r.Version}
@@ -221,11 +231,7 @@
 func (t *Table) keepLatest(old Row, r *Row) {
 	latest, removed := old.latest()
 	if r.Latest != nil { // a sibling has seen a later value than that in r
-		if latest == nil || !t.older(r.Latest, latest) {
-			latest, removed = r.Latest, r.LatestRemoved
-		} else if t.older(latest, r.Latest) { // the same one
-			removed = removed || r.LatestRemoved
-		}
+		latest, removed = t.later(latest, removed, r.Latest, r.LatestRemoved)
 	}
 	switch {
 	case r.Removed:
@@ -237,6 +243,47 @@
 	}
 }
 
+// learnLatest takes over which value a sibling has seen from its row r, which is no newer than what
+// this copy has: this process may have read the table after its start and have seen nothing before. A
+// row that this copy lacks was removed since. The caller must hold mu.
+func (t *Table) learnLatest(r Row) {
+	if t.older == nil {
+		return
+	}
+	old, ok := t.rows[r.Key]
+	if !ok {
+		old = entry{Row: Row{Key: r.Key, Version: r.Version, Removed: true}, changedVersion: r.Version}
+	}
+	latest, removed := old.latest()
+	seen, seenRemoved := r.latest()
+	learned, learnedRemoved := t.later(latest, removed, seen, seenRemoved)
+	learnedRemoved = learnedRemoved || old.Removed
+	if learned == nil || learnedRemoved == removed && bytes.Equal(learned, latest) {
+		return
+	}
+	old.Latest, old.LatestRemoved = learned, learnedRemoved
+	if !ok {
+		t.tombstoneCount++
+	}
+	t.rows[r.Key] = old
+	t.changeCount++
+}
+
+// later returns the later one of two values of a row, each nil if there is none, and whether the row was
+// removed since.
+func (t *Table) later(a []byte, aRemoved bool, b []byte, bRemoved bool) (value []byte, removed bool) {
+	switch {
+	case b == nil:
+		return a, aRemoved
+	case a == nil || !t.older(b, a):
+		return b, bRemoved
+	case t.older(a, b): // the same one
+		return a, aRemoved || bRemoved
+	default:
+		return a, aRemoved
+	}
+}
+
 // latest returns the value that the writer of r wrote last, or nil if it is not known, and whether the
 // row was removed since.
 func (r Row) latest() (value []byte, removed bool) {
@@ -313,7 +360,8 @@
 
 // Since returns the rows that changed after version, without those that changed
 // only to an equivalent value. It returns the whole table if version is 0 or if
-// tombstones of later removals were dropped.
+// tombstones of later removals were dropped. The whole table includes the rows that were removed last,
+// if their latest values are known.
 func (t *Table) Since(version uint64) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -321,11 +369,19 @@
 	if c.Full {
 		c.BaseVersion = 0
 	}
+	var removed []Row
 	for _, e := range t.rows {
-		if c.Full && !e.Removed || !c.Full && e.changedVersion > version {
+		switch {
+		case c.Full && e.Removed:
+			if e.Latest != nil {
+				removed = append(removed, e.Row)
+			}
+		case c.Full || e.changedVersion > version:
 			c.Rows = append(c.Rows, e.Row)
 		}
 	}
+	slices.SortFunc(removed, func(a, b Row) int { return cmp.Compare(b.Version, a.Version) })
+	c.Rows = append(c.Rows, removed[:min(len(removed), maxSentTombstones)]...)
 	return c
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,6 +66,7 @@
 	5001,       // a repeated refusal of a health check was taken for that of a request that ran: refused as not run
 	5002,       // same cause as 5001: the request also ran at a second server
 	4302,       // a heartbeat that the store did late made a server that drained ready again
+	43014,      // a process that started after a late heartbeat took a server that had left for ready
 	9105,       // a version with eight times the usual service time was completed
 }
 
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -218,7 +218,9 @@
 }
 
 // addTables adds the table rows that the other VM does not have. With a refresh it
-// also adds the present version and time of unchanged tables.
+// also adds the present version and time of unchanged tables. The first message has the whole tables, even
+// if the other VM has newer ones that it has read itself: after a start it does not know which values
+// were the latest ones of rows that the store has replaced by older ones.
 func (p *peer) addTables(now time.Time, m *siblingpb.News, refreshDue bool) {
 	if !p.sameRegion {
 		p.addReadTables(now, m)
@@ -236,6 +238,10 @@
 		p.mu.Unlock()
 		proof := p.proof(t, m)
 		newer := asOf.After(peerState.asOf) || p.improvesProof(t.Name(), proof)
+		if !p.sentTables[t.Name()] {
+			p.sentTables[t.Name()] = true
+			peerState = tableState{}
+		}
 		if version < peerState.version || (version == peerState.version && (!refreshDue || !newer)) {
 			continue
 		}
--- a/internal/statesync/peer.go
+++ b/internal/statesync/peer.go
@@ -66,6 +66,7 @@
 	serverNumbers    map[string]numberedServer // latest numbers that stand for servers on this stream, by server ID
 	lastServerNumber uint32
 	counts           sentCounts
+	sentTables       map[string]bool                 // tables that were sent as a whole, by name
 	sentProofs       map[string]suspendclock.Instant // latest proofs sent, by table name
 
 	echoMs atomic.Uint64 // sent_ms of the latest message of the other VM
@@ -101,7 +102,7 @@
 		sameRegion: v.Region == syncer.cfg.Self.Region, inFlightKey: otherDomainPrefix + v.ID, wake: make(chan struct{}, 1),
 		done: make(chan struct{}), knownTables: map[string]tableState{}, sentReadings: map[string]fleet.Reading{},
 		sentInFlight: map[string]int{}, serverNumbers: map[string]numberedServer{}, serversByNumber: map[uint32]serverProcess{},
-		sentProofs: map[string]suspendclock.Instant{}, counts: newSentCounts(), subjectsByNumber: map[uint32]counts.Subject{},
+		sentTables: map[string]bool{}, sentProofs: map[string]suspendclock.Instant{}, counts: newSentCounts(), subjectsByNumber: map[uint32]counts.Subject{},
 	}
 	if p.sameDomain {
 		p.inFlightKey = sameDomainPrefix + v.ID
