replica: order is not guessed from an older copy

From an older copy of a sibling, an entry without a sequence would have counted as the latest one, and a heartbeat that the VM had not been sent, since it changes nothing, would have made the row that it has look like a late write.

Change: a value counts as later only if the order is known. A row of an older copy with a newer version than that of this copy replaces it, unless it is a removal or was written before.

Evidence: TestUnorderedRowsFollowTheStore and TestHeartbeatsOfAnOlderCopyAreNoLateWrites failed before and pass.

--- a/internal/replica/order_test.go
+++ b/internal/replica/order_test.go
@@ -36,13 +36,17 @@
 	return replica.Row{Key: "x", Version: version, Removed: true}
 }
 
-// latestState returns the state in the value that the writer of a row wrote last.
-func latestState(r replica.Row) string {
-	value := r.Value
+// latestValue returns the value that the writer of a row wrote last.
+func latestValue(r replica.Row) []byte {
 	if r.Latest != nil {
-		value = r.Latest
+		return r.Latest
 	}
-	_, state, _ := strings.Cut(string(value), " ")
+	return r.Value
+}
+
+// latestState returns the state in that value.
+func latestState(r replica.Row) string {
+	_, state, _ := strings.Cut(string(latestValue(r)), " ")
 	return state
 }
 
@@ -126,75 +130,134 @@
 	}
 }
 
+// Guards against rows without a sequence of which an older version counts as the latest.
+func TestUnorderedRowsFollowTheStore(t *testing.T) {
+	unordered := func([]byte, []byte) bool { return false }
+	sibling, own := replica.NewOrdered("t", nil, unordered), replica.NewOrdered("t", nil, unordered)
+	sibling.Apply(replica.Changes{Full: true, Version: 5, Rows: []replica.Row{row("x", "ready", 5)}}, epoch)
+	own.Apply(replica.Changes{Full: true, Version: 9, Rows: []replica.Row{row("x", "leaving", 9)}}, epoch)
+	own.Apply(sibling.Since(0), epoch)
+	if r, _ := own.Get("x"); string(r.Value) != "leaving" || r.Latest != nil {
+		t.Errorf("row %q with latest %q, want leaving and no other", r.Value, r.Latest)
+	}
+	own.Apply(replica.Changes{BaseVersion: 9, Version: 11, Rows: []replica.Row{removal(10), row("x", "ready", 11)}}, epoch)
+	if r, ok := own.Get("x"); !ok || string(r.Value) != "ready" || r.Latest != nil {
+		t.Errorf("row %q (%v) with latest %q, want ready and no other", r.Value, ok, r.Latest)
+	}
+}
+
+// Guards against heartbeats that only a sibling has read, whose copy is older, and that count as late
+// writes.
+func TestHeartbeatsOfAnOlderCopyAreNoLateWrites(t *testing.T) {
+	sibling, own := newOrdered(), newOrdered()
+	sibling.Apply(replica.Changes{Full: true, Version: 8, Rows: []replica.Row{row("x", "7 ready", 8)}}, epoch)
+	own.Apply(replica.Changes{Full: true, Version: 2, Rows: []replica.Row{row("x", "1 ready", 2)}}, epoch)
+	own.Apply(replica.Changes{BaseVersion: 2, Version: 9}, epoch) // equivalent values are not passed on
+	own.Apply(sibling.Since(0), epoch)
+	if r, ok := own.Get("x"); !ok || string(r.Value) != "7 ready" || r.Latest != nil {
+		t.Errorf("row %q (%v) with latest %q, want that of the sibling", r.Value, ok, r.Latest)
+	}
+}
+
+// orderedStore has one row, to which a writer writes growing sequences. Some writes are done late, also
+// after the row was removed.
+type orderedStore struct {
+	version uint64
+	stored  replica.Row
+	next    int
+	delayed []string
+}
+
+func (s *orderedStore) write(value string, removed bool) {
+	s.version++
+	s.stored = replica.Row{Key: "x", Value: []byte(value), Version: s.version, Removed: removed}
+	if removed {
+		s.stored.Value = nil
+	}
+}
+
+func (s *orderedStore) heartbeat(state string, late bool) {
+	s.next++
+	value := fmt.Sprintf("%d %s", s.next, state)
+	if late {
+		s.delayed = append(s.delayed, value)
+		return
+	}
+	s.write(value, false)
+}
+
+// read lets a copy read the changes, or the whole table if it has none.
+func (s *orderedStore) read(c *replica.Table) {
+	after, _, _ := c.State()
+	changes := replica.Changes{BaseVersion: after, Version: s.version, Full: after == 0}
+	if s.stored.Version > after && !(changes.Full && s.stored.Removed) {
+		changes.Rows = []replica.Row{s.stored}
+	}
+	c.Apply(changes, epoch)
+}
+
 // Guards against late writes, however they fall between reads and messages, after which a copy goes
-// back behind what it has seen. A writer writes the row with growing sequences; some writes are done
-// late, also after the row was removed.
+// back behind what it has seen. The relay and a second reader, which may start late, read the store, and
+// the follower has only what the relay passes on.
 func TestCopiesNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var stored replica.Row
-		version, next, seen := uint64(1), 1, 0
-		var delayed []string
-		relay, follower := newOrdered(), newOrdered()
-		relay.Apply(replica.Changes{Full: true, Version: 1}, epoch)
+		store := &orderedStore{version: 1}
+		relay, follower, second := newOrdered(), newOrdered(), newOrdered()
+		store.read(relay)
 		follower.Apply(relay.Since(0), epoch)
-		store := func(value string, removed bool) {
-			version++
-			stored = replica.Row{Key: "x", Value: []byte(value), Version: version, Removed: removed}
-			if removed {
-				stored.Value = nil
-			}
-		}
+		latest := map[*replica.Table]int{}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1:
-				value := fmt.Sprintf("%d %s", next, rapid.SampledFrom([]string{"ready", "leaving"}).Draw(t, "state"))
-				next++
-				if rapid.Bool().Draw(t, "late") {
-					delayed = append(delayed, value)
-				} else {
-					store(value, false)
-				}
+				store.heartbeat(rapid.SampledFrom([]string{"ready", "leaving"}).Draw(t, "state"), rapid.Bool().Draw(t, "late"))
 			case 2:
-				if len(delayed) > 0 {
-					store(delayed[0], false)
-					delayed = delayed[1:]
+				if len(store.delayed) > 0 {
+					store.write(store.delayed[0], false)
+					store.delayed = store.delayed[1:]
 				}
 			case 3:
-				store("", true)
+				store.write("", true)
 			case 4:
-				after, _, _ := relay.State()
-				c := replica.Changes{BaseVersion: after, Version: version}
-				if stored.Version > after {
-					c.Rows = []replica.Row{stored}
-				}
-				relay.Apply(c, epoch)
-				if !stored.Removed {
-					seen = max(seen, sequence(stored.Value))
-				}
+				store.read(relay)
 			case 5:
 				after, _, _ := follower.State()
 				follower.Apply(relay.Since(after), epoch)
+			case 6:
+				store.read(second)
+			case 7:
+				if version, _, _ := second.State(); version > 0 {
+					second.Apply(relay.Since(0), epoch)
+				}
 			}
-			for name, table := range map[string]*replica.Table{"relay": relay, "follower": follower} {
-				got, ok := table.Get("x")
+			for _, copied := range []*replica.Table{relay, follower, second} {
+				got, ok := copied.Get("x")
 				if !ok {
 					continue
 				}
-				latest := max(sequence(got.Value), sequence(got.Latest))
-				if name == "relay" && latest < seen {
-					t.Fatalf("relay takes sequence %d for the latest, after it has seen %d", latest, seen)
+				now := max(sequence(got.Value), sequence(got.Latest))
+				if now < latest[copied] {
+					t.Fatalf("a copy takes sequence %d for the latest, and %d before", now, latest[copied])
 				}
 				if got.Latest != nil && sequence(got.Value) > sequence(got.Latest) {
-					t.Fatalf("%s has the value %q and the older %q as the latest", name, got.Value, got.Latest)
+					t.Fatalf("a copy has the value %q and the older %q as the latest", got.Value, got.Latest)
 				}
+				latest[copied] = now
 			}
 		}
+		store.read(relay)
+		store.read(second)
+		second.Apply(relay.Since(0), epoch)
 		after, _, _ := follower.State()
 		follower.Apply(relay.Since(after), epoch)
 		x, inRelay := relay.Get("x")
-		y, inFollower := follower.Get("x")
-		if inRelay != inFollower || latestState(x) != latestState(y) || x.LatestRemoved != y.LatestRemoved {
-			t.Fatalf("relay has %+v (%v), follower %+v (%v)", x, inRelay, y, inFollower)
+		for name, copied := range map[string]*replica.Table{"follower": follower, "second reader": second} {
+			y, ok := copied.Get("x")
+			if ok != inRelay || ok && sequence(latestValue(y)) == sequence(latestValue(x)) && x.LatestRemoved && !y.LatestRemoved {
+				t.Fatalf("relay has %+v (%v), %s %+v (%v)", x, inRelay, name, y, ok)
+			}
+			if ok && latestState(y) != latestState(x) && sequence(latestValue(y)) < sequence(latestValue(x)) {
+				t.Fatalf("relay has %+v, %s the older state %+v", x, name, y)
+			}
 		}
 	})
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -251,6 +251,13 @@
 		return
 	}
 	old, ok := t.rows[r.Key]
+	if ok && r.Version > old.Version {
+		// What this copy has is equivalent to a newer version, unless the writer has written r later.
+		if !r.Removed && !t.older(r.Value, old.Value) {
+			t.merge(r)
+		}
+		return
+	}
 	if !ok {
 		old = entry{Row: Row{Key: r.Key, Version: r.Version, Removed: true}, changedVersion: r.Version}
 	}
@@ -270,17 +277,19 @@
 }
 
 // later returns the later one of two values of a row, each nil if there is none, and whether the row was
-// removed since.
+// removed since. It returns a if their order is not known.
 func (t *Table) later(a []byte, aRemoved bool, b []byte, bRemoved bool) (value []byte, removed bool) {
 	switch {
 	case b == nil:
 		return a, aRemoved
-	case a == nil || !t.older(b, a):
+	case a == nil:
 		return b, bRemoved
-	case t.older(a, b): // the same one
+	case !t.older(a, b):
+		return a, aRemoved
+	case t.older(b, a): // the same one
 		return a, aRemoved || bRemoved
 	default:
-		return a, aRemoved
+		return b, bRemoved
 	}
 }
 
