--- a/internal/entry/registration_test.go
+++ b/internal/entry/registration_test.go
@@ -58,13 +58,13 @@
 	v.follower.refresh(after(v.ms))
 }
 
-// use returns how both VMs use server x, which has to be the same: "ready", "draining" or "gone".
+// use returns how both VMs use server x, which has to be the same: "ready", "draining" or "removed".
 func (v *relayedVMs) use(t *testing.T) string {
 	t.Helper()
 	uses := lo.Map([]*deploymentState{v.reader, v.follower}, func(state *deploymentState, _ int) string {
 		switch s, ok := state.fleet.Server("x"); {
 		case !ok:
-			return "gone"
+			return "removed"
 		case s.Draining:
 			return "draining"
 		default:
@@ -111,21 +111,21 @@
 		}, "draining"},
 		{"after its row was removed", []replica.Row{
 			heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 5, 5, "ready"), removedRow(4), heartbeatRow(5, 5, 3, "ready"),
-		}, "gone"},
+		}, "removed"},
 		{"done twice, after its row was removed", []replica.Row{
 			heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 5, 5, "ready"), removedRow(4), heartbeatRow(5, 5, 5, "ready"),
-		}, "gone"},
+		}, "removed"},
 		{"after it has started again", []replica.Row{
 			heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 6, 1, "ready"), heartbeatRow(4, 5, 9, "draining"),
 		}, "ready since 6"},
 		{"after a new process has left", []replica.Row{
 			heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 6, 1, "ready"), removedRow(4), heartbeatRow(5, 5, 9, "ready"),
-		}, "gone"},
+		}, "removed"},
 	})
 }
 
 // Guards against a VM that has started after a late write and uses the server that has left, although
-// its relay knows better.
+// its relay has seen later rows.
 func TestStartedVMLearnsWhichServersHaveLeft(t *testing.T) {
 	vms := newRelayedVMs()
 	for _, r := range []replica.Row{heartbeatRow(2, 5, 1, "ready"), heartbeatRow(3, 5, 5, "draining"), heartbeatRow(4, 5, 3, "ready")} {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -74,8 +74,8 @@
 	row    registration.Row
 }
 
-// isOf reports whether the decoded row is that of r. A sibling may tell the latest value of a row later
-// than its version.
+// isOf reports whether the decoded row is that of r. The latest value of a row may be
+// received from a sibling later than its version.
 func (d decodedRow) isOf(r replica.Row) bool {
 	return d.stored.Version == r.Version && d.stored.LatestRemoved == r.LatestRemoved && bytes.Equal(d.stored.Latest, r.Latest)
 }
@@ -301,7 +301,7 @@
 	case registration.Registered:
 		_ = level.Info(d.log).Log("msg", "backend server registered", "server", s.ID, "service", s.Service, "failure_domain", s.FailureDomain,
 			"version", s.Version, "draining", s.Draining, "cold_ms", s.ColdFor.Milliseconds(), "incarnation", s.Incarnation, "sequence", s.Sequence)
-	case registration.Gone:
+	case registration.Removed:
 		_ = level.Info(d.log).Log("msg", "backend server gone", "server", e.ID, "service", s.Service, "incarnation", s.Incarnation, "sequence", s.Sequence)
 	case registration.Lapsed:
 		_ = level.Info(d.log).Log("msg", "row of the registry expired while the store was unavailable; server stays in use for now", "server", e.ID)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,7 +28,7 @@
 	Sequence uint64
 	// ReturnedAt is the time of the read in which the row of the same process was there again after it
 	// had been removed, unless that was long ago; zero otherwise. The process may have left all the
-	// same, and the store may have done one of its heartbeats late. A measurement tells.
+	// same, and the store may have done one of its heartbeats late. A measurement shows which.
 	ReturnedAt time.Time
 }
 
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -3,7 +3,7 @@
 // live servers may expire in an outage, while a row that is missing at any other time is that of a
 // server that has left.
 //
-// A VM that has not read the store for a while cannot tell an outage from a fault of its own: its
+// A VM that has not read the store for a while cannot distinguish an outage from a fault of its own: its
 // connections may be silent, its relay may have been paused, or it may be cut off itself. So an outage
 // is concluded only if no VM is known to have read the store in that time and a read failed in a way
 // that speaks of the store. See History.
@@ -79,8 +79,8 @@
 // Unbroken returns the time from Since to AsOf.
 func (h History) Unbroken() time.Duration { return h.AsOf.Sub(h.Since) }
 
-// Watch follows the history of a copy and tells for how long rows that are missing may have expired in
-// an outage. The zero value is ready for use.
+// Watch follows the history of a copy and determines for how long rows that are missing may have
+// expired in an outage. The zero value is ready for use.
 type Watch struct {
 	seen   History
 	before time.Time // time of the latest read before the latest outage
--- a/internal/outage/outage_test.go
+++ b/internal/outage/outage_test.go
@@ -65,7 +65,7 @@
 		{"a sibling that has read throughout", unbroken(0, 1000), unbroken(200, 4300), after(2000), unbroken(0, 4300)},
 		{"a sibling that has read throughout, after the gap", afterOutage(4000, 4500), unbroken(200, 4300), after(2000), unbroken(200, 4500)},
 		{"an old message of a sibling", afterOutage(4000, 4500), unbroken(200, 1500), after(2000), afterOutage(4000, 4500)},
-		{"a sibling that knows of an earlier outage", unbroken(5000, 6000), afterOutage(4000, 5500), time.Time{}, afterOutage(4000, 6000)},
+		{"a sibling that has seen an earlier outage", unbroken(5000, 6000), afterOutage(4000, 5500), time.Time{}, afterOutage(4000, 6000)},
 	} {
 		if got := c.known.Join(c.o, c.failedAt); got != c.want {
 			t.Errorf("%s: joined history is %v to %v, after an outage: %v; want %v to %v, %v", c.name, got.Since.Sub(begin), got.AsOf.Sub(begin),
--- a/internal/registration/registration.go
+++ b/internal/registration/registration.go
@@ -1,6 +1,6 @@
 // Package registration decides which backend servers a VM takes for registered, and in which state,
-// from the rows of the registry as its copy of the table has them. It knows no network and no
-// platform.
+// from the rows of the registry as its copy of the table has them. It uses no network and does not
+// depend on the platform.
 //
 // A row says what its server was when it wrote the row, which need not be the latest: the store may
 // carry out a write seconds after it was sent, when the server has written again, has left or has been
@@ -19,8 +19,8 @@
 // clock from which it takes its start may have been set back.
 const missedHeartbeats = 3
 
-// maxRemembered is the number of processes that drain, and of those that are gone, above which they
-// are forgotten unless they have a row.
+// maxRemembered is the number of processes that drain, and of those whose rows were removed, above
+// which those without a row are dropped.
 const maxRemembered = 4096
 
 // assumedHeartbeatInterval is used where the interval is not known.
@@ -49,13 +49,13 @@
 	LatestRemoved bool
 }
 
-// EventKind tells what has changed for a server.
+// EventKind is what has changed for a server.
 type EventKind uint8
 
 // Kinds of events.
 const (
 	Registered EventKind = iota // it is new or its state has changed
-	Gone                        // its row was removed, or has expired and was not written again
+	Removed                     // its row was removed, or has expired and was not written again
 	Lapsed                      // its row has expired in an outage of the store; it stays in use for now
 	Unreadable                  // its row cannot be used; see Row.Err
 	HeldBack                    // its row is older than what is known of it and has no effect
@@ -78,7 +78,7 @@
 	lapsed     map[string]time.Time    // end of the time for which a server without a row stays in use
 	heldSince  map[string]time.Time    // time as of which a row was first found to be superseded
 	draining   map[string]uint64       // incarnations that have said that they drain
-	gone       map[string]uint64       // incarnations whose rows are no longer there
+	removed    map[string]uint64       // incarnations whose rows are no longer there
 	returnedAt map[string]time.Time    // see fleet.Server
 	unreadable map[string]bool         // rows whose errors were reported
 }
@@ -88,7 +88,7 @@
 	return &Book{
 		HeartbeatInterval: heartbeatInterval,
 		inUse:             map[string]fleet.Server{}, lapsed: map[string]time.Time{}, heldSince: map[string]time.Time{},
-		draining: map[string]uint64{}, gone: map[string]uint64{}, returnedAt: map[string]time.Time{}, unreadable: map[string]bool{},
+		draining: map[string]uint64{}, removed: map[string]uint64{}, returnedAt: map[string]time.Time{}, unreadable: map[string]bool{},
 	}
 }
 
@@ -146,8 +146,8 @@
 		use(s)
 	}
 	b.heldSince = held
-	forget(b.draining, b.inUse)
-	forget(b.gone, b.inUse)
+	prune(b.draining, b.inUse)
+	prune(b.removed, b.inUse)
 	for id, s := range previous {
 		if _, ok := b.inUse[id]; ok {
 			continue
@@ -162,8 +162,8 @@
 		}
 		delete(b.lapsed, id)
 		delete(b.returnedAt, id)
-		b.gone[id] = s.Incarnation
-		events = append(events, Event{Kind: Gone, ID: id, Server: s})
+		b.removed[id] = s.Incarnation
+		events = append(events, Event{Kind: Removed, ID: id, Server: s})
 	}
 	return servers, events
 }
@@ -178,8 +178,8 @@
 	return age > (missedHeartbeats+1)*interval
 }
 
-// forget removes servers that are not in use from incarnations if there are more than maxRemembered.
-func forget(incarnations map[string]uint64, inUse map[string]fleet.Server) {
+// prune removes servers that are not in use from incarnations if there are more than maxRemembered.
+func prune(incarnations map[string]uint64, inUse map[string]fleet.Server) {
 	if len(incarnations) <= maxRemembered {
 		return
 	}
@@ -193,8 +193,8 @@
 // returned returns fleet.Server.ReturnedAt of a server whose row is there as of a time. inUse is true
 // if the server was in use before.
 func (b *Book) returned(asOf time.Time, s fleet.Server, inUse bool) time.Time {
-	if incarnation, ok := b.gone[s.ID]; ok {
-		delete(b.gone, s.ID)
+	if incarnation, ok := b.removed[s.ID]; ok {
+		delete(b.removed, s.ID)
 		if incarnation == s.Incarnation && !inUse {
 			b.returnedAt[s.ID] = asOf
 		}
--- a/internal/registration/registration_test.go
+++ b/internal/registration/registration_test.go
@@ -37,7 +37,7 @@
 }
 
 // Guards against an order of registrations in which a late write, or the row of an earlier process,
-// counts as news of the server.
+// counts as the latest state of the server.
 func TestOlder(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/internal/replica/order_test.go
+++ b/internal/replica/order_test.go
@@ -104,7 +104,7 @@
 		{"the sibling has not read the late write", []replica.Row{row("x", "6 leaving", 6)}, []replica.Row{row("x", "4 ready", 9)}, "6 leaving", false},
 		{"the sibling has read the removal", []replica.Row{row("x", "6 ready", 6), removal(7)}, []replica.Row{row("x", "4 ready", 9)}, "6 ready", true},
 		{"the sibling has read neither", []replica.Row{row("x", "6 ready", 6)}, []replica.Row{row("x", "4 ready", 11)}, "6 ready", true},
-		{"the sibling knows less", []replica.Row{row("x", "4 ready", 4)}, []replica.Row{row("x", "6 leaving", 9)}, "", false},
+		{"the sibling has seen less", []replica.Row{row("x", "4 ready", 4)}, []replica.Row{row("x", "6 leaving", 9)}, "", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sibling, own := newOrdered(), newOrdered()
@@ -190,7 +190,7 @@
 func (s *orderedStore) read(c *replica.Table) {
 	after, _, _ := c.State()
 	changes := replica.Changes{BaseVersion: after, Version: s.version, Full: after == 0}
-	if s.stored.Version > after && !(changes.Full && s.stored.Removed) {
+	if s.stored.Version > after && (!changes.Full || !s.stored.Removed) {
 		changes.Rows = []replica.Row{s.stored}
 	}
 	c.Apply(changes, epoch)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -90,8 +90,8 @@
 	return &Table{name: name, equal: equal, rows: map[string]entry{}}
 }
 
-// NewOrdered is New for a table in which the order of the writes of one row can be told from their
-// values.
+// NewOrdered is New for a table in which the order of the writes of one row can be determined from
+// their values.
 func NewOrdered(name string, equal EqualFunc, older OlderFunc) *Table {
 	t := New(name, equal)
 	t.older = older
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -55,8 +55,8 @@
 	interval
 	announced time.Time
 	// lateWrite is true if the row of the server says again that it is ready. Only VMs that have run
-	// for faultSettleTime are bound then: a process that starts after the late write may know of
-	// nothing else until a sibling tells it.
+	// for faultSettleTime are bound then: a process that starts after the late write has no other
+	// row until its first message from a sibling.
 	lateWrite bool
 }
 
--- a/internal/statesync/codec.go
+++ b/internal/statesync/codec.go
@@ -85,8 +85,8 @@
 	return out
 }
 
-// decodeTable returns the changes in a message that was received at now, and what the sender knows of
-// the reads of the store that led to them.
+// decodeTable returns the changes in a message that was received at now, and the history of the reads of
+// the store that led to them.
 func decodeTable(now time.Time, m *siblingpb.TableNews) (replica.Changes, outage.History) {
 	c := replica.Changes{BaseVersion: m.GetAfter(), Version: m.GetVersion(), Full: m.GetWhole()}
 	for _, r := range m.GetRows() {
