statesync: histories and latest values are stated once

Cause: each refresh stated for each table since when the store had been read, and a subscriber answered the first message of its relay with its whole tables.

Change: the history of a copy is stated with the first message on a stream and after a change; the other VM adds further reads by itself. Of the tables, a first message to a VM that has a version has only the rows whose latest values were replaced by older ones, and those that were removed last.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -378,22 +378,44 @@
 	if c.Full {
 		c.BaseVersion = 0
 	}
-	var removed []Row
 	for _, e := range t.rows {
-		switch {
-		case c.Full && e.Removed:
-			if e.Latest != nil {
-				removed = append(removed, e.Row)
-			}
-		case c.Full || e.changedVersion > version:
+		if c.Full && !e.Removed || !c.Full && e.changedVersion > version {
 			c.Rows = append(c.Rows, e.Row)
 		}
 	}
-	slices.SortFunc(removed, func(a, b Row) int { return cmp.Compare(b.Version, a.Version) })
-	c.Rows = append(c.Rows, removed[:min(len(removed), maxSentTombstones)]...)
+	if c.Full {
+		c.Rows = append(c.Rows, t.lastRemoved()...)
+	}
 	return c
 }
 
+// Superseded returns the rows that do not have their latest values, including those that were removed
+// last. A process that has read the table after its start has not seen these values.
+func (t *Table) Superseded() []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Row
+	for _, e := range t.rows {
+		if e.Latest != nil && !e.Removed {
+			out = append(out, e.Row)
+		}
+	}
+	return append(out, t.lastRemoved()...)
+}
+
+// lastRemoved returns the rows that were removed last and whose latest values are known, at most
+// maxSentTombstones. The caller must hold mu.
+func (t *Table) lastRemoved() []Row {
+	var removed []Row
+	for _, e := range t.rows {
+		if e.Removed && e.Latest != nil {
+			removed = append(removed, e.Row)
+		}
+	}
+	slices.SortFunc(removed, func(a, b Row) int { return cmp.Compare(b.Version, a.Version) })
+	return removed[:min(len(removed), maxSentTombstones)]
+}
+
 // Rows returns the rows that are not removed, in no particular order.
 func (t *Table) Rows() []Row {
 	t.mu.Lock()
--- a/internal/statesync/fuzz_test.go
+++ b/internal/statesync/fuzz_test.go
@@ -15,10 +15,13 @@
 )
 
 // newTestPeer returns this VM's end of a subscription of another VM of its failure domain.
-func newTestPeer(servers *fleet.ServerTable) *peer {
+func newTestPeer(servers *fleet.ServerTable, tables ...*replica.Table) *peer {
+	if len(tables) == 0 {
+		tables = []*replica.Table{replica.New("t", nil)}
+	}
 	self := fleet.VM{ID: "self", FailureDomain: "a", Region: "r"}
 	syncer := New(Config{
-		Self: self, Servers: servers, Tables: []*replica.Table{replica.New("t", nil)}, Counts: counts.NewBoard(self.FailureDomain), Liveness: NewLiveness(),
+		Self: self, Servers: servers, Tables: tables, Counts: counts.NewBoard(self.FailureDomain), Liveness: NewLiveness(),
 		VMs: func() []fleet.VM { return []fleet.VM{self} }, OnChange: func(bool) {}, RegionOf: func(string) string { return "r" },
 		NeededByRegion: func(string, string) bool { return true }, Clock: suspendclock.Now, ProveAge: func() bool { return true }, Logger: log.NewNopLogger(),
 	})
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -6,6 +6,7 @@
 
 	"goldcresthinge.example/goldcresthinge/api/siblingpb"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 )
 
@@ -218,9 +219,9 @@
 }
 
 // addTables adds the table rows that the other VM does not have. With a refresh it
-// also adds the present version and time of unchanged tables. The first message has the whole tables, even
-// if the other VM has newer ones that it has read itself: after a start it does not know which values
-// were the latest ones of rows that the store has replaced by older ones.
+// also adds the present version and time of unchanged tables. The first message also has the rows whose
+// latest values the store has replaced by older ones: the other VM may have read the table after its
+// start.
 func (p *peer) addTables(now time.Time, m *siblingpb.News, refreshDue bool) {
 	if !p.sameRegion {
 		p.addReadTables(now, m)
@@ -238,28 +239,45 @@
 		p.mu.Unlock()
 		proof := p.proof(t, m)
 		newer := asOf.After(peerState.asOf) || p.improvesProof(t.Name(), proof)
-		if !p.sentTables[t.Name()] {
-			p.sentTables[t.Name()] = true
-			peerState = tableState{}
+		var superseded []replica.Row
+		if !p.sentTables[t.Name()] && peerState.version != 0 {
+			superseded = t.Superseded()
 		}
-		if version < peerState.version || (version == peerState.version && (!refreshDue || !newer)) {
+		p.sentTables[t.Name()] = true
+		if len(superseded) == 0 && (version < peerState.version || version == peerState.version && (!refreshDue || !newer)) {
 			continue
 		}
 		var c replica.Changes
-		if version == peerState.version {
+		if version <= peerState.version {
 			c = replica.Changes{BaseVersion: version, Version: version}
-		} else if c = t.Since(peerState.version); len(c.Rows) == 0 && !c.Full && !refreshDue {
+		} else if c = t.Since(peerState.version); len(c.Rows) == 0 && !c.Full && !refreshDue && len(superseded) == 0 {
 			continue // only equivalent values changed; the next refresh sends the version
 		}
-		p.mu.Lock()
-		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
-		p.mu.Unlock()
-		changes := encodeTable(now, t.Name(), c, history)
+		if version >= peerState.version {
+			p.mu.Lock()
+			p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
+			p.mu.Unlock()
+		}
+		c.Rows = append(c.Rows, superseded...)
+		changes := p.encodeTable(now, t.Name(), c, history)
 		p.addProof(changes, proof)
 		m.Tables = append(m.Tables, changes)
 	}
 }
 
+// encodeTable is encodeTable for this stream. History.Since is stated only if it differs from what was
+// stated before, since the other VM adds further reads to it.
+func (p *peer) encodeTable(now time.Time, name string, c replica.Changes, h outage.History) *siblingpb.TableNews {
+	m := encodeTable(now, name, c, h)
+	stated, ok := p.statedHistories[name]
+	if ok && stated.AfterOutage == h.AfterOutage && h.Since.Sub(stated.Since).Abs() < maxSinceError {
+		m.UnbrokenMs, m.AfterOutage = 0, false
+		return m
+	}
+	p.statedHistories[name] = h
+	return m
+}
+
 // addReadTables adds, for the relay of another region, the tables that this VM has read from
 // the store itself since the latest message, also if nothing has changed: a copy that is up to
 // date keeps the other region from reading the store. Copies from siblings are not sent. They
@@ -282,7 +300,7 @@
 		p.mu.Lock()
 		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
 		p.mu.Unlock()
-		changes := encodeTable(now, t.Name(), c, t.ReadHistory())
+		changes := p.encodeTable(now, t.Name(), c, t.ReadHistory())
 		p.addProof(changes, proof)
 		m.Tables = append(m.Tables, changes)
 	}
--- a/internal/statesync/peer.go
+++ b/internal/statesync/peer.go
@@ -10,6 +10,7 @@
 	"goldcresthinge.example/goldcresthinge/api/siblingpb"
 	"goldcresthinge.example/goldcresthinge/internal/counts"
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/recovery"
 	"goldcresthinge.example/goldcresthinge/internal/sibling"
 	"goldcresthinge.example/goldcresthinge/internal/suspendclock"
@@ -27,6 +28,9 @@
 	// maxColdEndError is the difference between two times until which a server is cold
 	// that is not sent. Servers state the time left in milliseconds.
 	maxColdEndError = 50 * time.Millisecond
+	// maxSinceError is the difference between two values of outage.History.Since that is not sent. It
+	// covers the different delays of messages.
+	maxSinceError = 300 * time.Millisecond
 	// sameDomainPrefix and otherDomainPrefix begin the keys under which
 	// fleet.ServerTable records the requests in progress that a peer reports.
 	// They tell peers of this VM's failure domain from those of others.
@@ -66,7 +70,8 @@
 	serverNumbers    map[string]numberedServer // latest numbers that stand for servers on this stream, by server ID
 	lastServerNumber uint32
 	counts           sentCounts
-	sentTables       map[string]bool                 // tables that were sent as a whole, by name
+	sentTables       map[string]bool                 // tables of which a message was composed, by name
+	statedHistories  map[string]outage.History       // latest histories that were stated, by table name
 	sentProofs       map[string]suspendclock.Instant // latest proofs sent, by table name
 
 	echoMs atomic.Uint64 // sent_ms of the latest message of the other VM
@@ -102,7 +107,7 @@
 		sameRegion: v.Region == syncer.cfg.Self.Region, inFlightKey: otherDomainPrefix + v.ID, wake: make(chan struct{}, 1),
 		done: make(chan struct{}), knownTables: map[string]tableState{}, sentReadings: map[string]fleet.Reading{},
 		sentInFlight: map[string]int{}, serverNumbers: map[string]numberedServer{}, serversByNumber: map[uint32]serverProcess{},
-		sentTables: map[string]bool{}, sentProofs: map[string]suspendclock.Instant{}, counts: newSentCounts(), subjectsByNumber: map[uint32]counts.Subject{},
+		sentTables: map[string]bool{}, statedHistories: map[string]outage.History{}, sentProofs: map[string]suspendclock.Instant{}, counts: newSentCounts(), subjectsByNumber: map[uint32]counts.Subject{},
 	}
 	if p.sameDomain {
 		p.inFlightKey = sameDomainPrefix + v.ID
