front: a test's server announces that it closes the connection

Cause: the test's server closes its connection after each answer without saying so. The next of the ten requests can be sent on it just then. It may have run, and its route is not idempotent, so 502 is the right answer; the test is about the answer before.

Change: the server says Connection: close in both entries with a whole answer. All ten answers still have to be whole.

--- a/internal/front/broken_answer_test.go
+++ b/internal/front/broken_answer_test.go
@@ -186,8 +186,10 @@
 			}
 		}
 	},
-	Entry("that is whole", "Transfer-Encoding: chunked\r\n\r\n"+longChunk+"0\r\n\r\n", true),
-	Entry("that is whole and has a length", fmt.Sprintf("Content-Length: %d\r\n\r\n", longAnswerBytes)+strings.Repeat("x", longAnswerBytes), true),
+	// The server closes the connection after the answer and says so. Otherwise the next request could be
+	// sent on it just then, which is no failure to pass on this answer.
+	Entry("that is whole", "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"+longChunk+"0\r\n\r\n", true),
+	Entry("that is whole and has a length", fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n", longAnswerBytes)+strings.Repeat("x", longAnswerBytes), true),
 	Entry("that lacks its last chunk", "Transfer-Encoding: chunked\r\n\r\n"+longChunk, false),
 	Entry("that ends before its declared end", fmt.Sprintf("Content-Length: %d\r\n\r\n", longAnswerBytes+1)+strings.Repeat("x", longAnswerBytes), false),
 )
