--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -20,8 +20,9 @@
 
 // cases holds the cases by name. Each returns the violations of its rule.
 var cases = map[string]func(rec *record, root string, trouble bool) (violations []string, err error){
-	"restored-config": restoredConfig,
-	"restored-revoke": restoredRevoke,
+	"restored-config":   restoredConfig,
+	"restored-evacuate": restoredEvacuate,
+	"restored-revoke":   restoredRevoke,
 }
 
 func splitWords(s string) []string { return strings.Fields(s) }
--- a/review/standins-3/restored.go
+++ b/review/standins-3/restored.go
@@ -160,3 +160,77 @@
 	}
 	return violations, nil
 }
+
+// restoredEvacuate plays EVAC: after the store has come back from a copy, the operator takes a zone out
+// of service and, some seconds after the bound, stops its targets.
+func restoredEvacuate(rec *record, root string, trouble bool) ([]string, error) {
+	const (
+		evacuate  = 5 * time.Second // evacuate_ms
+		margin    = 500 * time.Millisecond
+		stopAfter = 10 * time.Second // from the confirmation until the targets of the zone stop
+		end       = changeAt + 14
+		evacuated = "zb"
+	)
+	s, err := newStage(rec, root, trouble, baseBounds, baseContracts)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	routes := []list{route("r-stay", "/stay/", "unsafe", serviceOne), route("r-other", "/other/", "unsafe", serviceTwo)}
+	s.configure(configuration(7, routes, nil))
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	var confirmed, stopped time.Time
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		s.restoreStore(backAt, copyAge)
+		s.until(changeAt)
+		version, _ := s.store.put("op", "evacuate/"+evacuated, map[string]any{})
+		confirmed = time.Now()
+		rec.printf("operator: evacuation of %s confirmed, row version %d", evacuated, version)
+		time.Sleep(stopAfter)
+		stopped = time.Now()
+		for _, t := range s.targets {
+			if t.zone == evacuated {
+				rec.printf("target %s stops", t.id)
+				t.close()
+			}
+		}
+	}()
+	s.traffic(100*time.Millisecond, end, func(m *machine, n int) {
+		path := []string{"/stay/", "/other/"}[n%2]
+		s.callers.do(m, call{method: http.MethodPost, host: host, path: fmt.Sprintf("%s%d", path, n), body: []byte("body"), deadline: callTimeout})
+	})
+	<-changed
+	zones := map[string]string{}
+	for _, t := range s.targets {
+		zones[t.id] = t.zone
+	}
+	var violations []string
+	judged, lost := 0, 0
+	runs := s.runsByID()
+	for _, q := range s.callers.results() {
+		for _, r := range runs[q.id] {
+			if r.at.Before(confirmed.Add(evacuate + margin)) {
+				continue
+			}
+			judged++
+			if zones[r.target] != evacuated {
+				continue
+			}
+			violations = append(violations, fmt.Sprintf("EVAC: request %s, sent to %s, ran at target %s of zone %s %.1f s after the confirmation",
+				q.id, q.machine, r.target, evacuated, r.at.Sub(confirmed).Seconds()))
+			if q.stamp == "" && !r.at.After(stopped) {
+				lost++
+			}
+		}
+	}
+	rec.printf("judged %d runs; %d requests ran at targets of the zone and lost their answers when these stopped", judged, lost)
+	fmt.Printf("%d requests that ran in the zone lost their answers when its targets stopped\n", lost)
+	if judged == 0 {
+		return nil, fmt.Errorf("no run to judge")
+	}
+	return violations, nil
+}
--- a/review/standins-3/target.go
+++ b/review/standins-3/target.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -39,6 +40,7 @@
 	busy     chan struct{}
 	waiting  atomic.Int64
 	stopped  chan struct{}
+	closing  sync.Once
 }
 
 func startTarget(t *target, ip string) error {
@@ -123,6 +125,8 @@
 }
 
 func (t *target) close() {
-	close(t.stopped)
-	_ = t.server.Close()
+	t.closing.Do(func() {
+		close(t.stopped)
+		_ = t.server.Close()
+	})
 }
