--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 program=../../target/review-3/standins-3
 [ -x "$program" ] && [ -x ../../target/goldcresthinged ] || exit 2
-exec "$program" -case restored-evacuate -root ../.. -record record.txt
+exec "$program" -case restored-revoke -root ../.. -record record.txt
