--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -20,6 +20,7 @@
 
 // cases holds the cases by name. Each returns the violations of its rule.
 var cases = map[string]func(rec *record, root string, trouble bool) (violations []string, err error){
+	"incomplete-entry":  incompleteEntry,
 	"restored-config":   restoredConfig,
 	"restored-evacuate": restoredEvacuate,
 	"restored-revoke":   restoredRevoke,
