--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -7,8 +7,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
-	"strings"
+	"syscall"
 )
 
 // Exit codes.
@@ -23,11 +24,10 @@
 	"incomplete-entry":  incompleteEntry,
 	"restored-config":   restoredConfig,
 	"restored-evacuate": restoredEvacuate,
+	"restored-restart":  restoredRestart,
 	"restored-revoke":   restoredRevoke,
 }
 
-func splitWords(s string) []string { return strings.Fields(s) }
-
 func main() { os.Exit(play()) }
 
 func play() int {
@@ -51,6 +51,15 @@
 		return notRun
 	}
 	defer rec.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		if s := current.Load(); s != nil {
+			s.close()
+		}
+		os.Exit(notRun)
+	}()
 	violations, err := play(rec, absolute, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		rec.printf("the case could not run: %v", err)
--- a/review/standins-3/restored.go
+++ b/review/standins-3/restored.go
@@ -161,15 +161,51 @@
 	return violations, nil
 }
 
+// evacuatedZone is the zone that the operator takes out of service.
+const evacuatedZone = "zb"
+
 // restoredEvacuate plays EVAC: after the store has come back from a copy, the operator takes a zone out
 // of service and, some seconds after the bound, stops its targets.
 func restoredEvacuate(rec *record, root string, trouble bool) ([]string, error) {
+	const stopAfter = 10 * time.Second // from the confirmation until the targets of the zone stop
+	return evacuation(rec, root, trouble, func(*machine) bool { return true }, func(s *stage) error {
+		time.Sleep(stopAfter)
+		for _, t := range s.targets {
+			if t.zone == evacuatedZone {
+				rec.printf("target %s stops", t.id)
+				t.close()
+			}
+		}
+		return nil
+	})
+}
+
+// restoredRestart plays EVAC: as restoredEvacuate, but one machine is killed after the confirmation and
+// starts again, and only that machine is judged. It reads the evacuation itself.
+func restoredRestart(rec *record, root string, trouble bool) ([]string, error) {
 	const (
-		evacuate  = 5 * time.Second // evacuate_ms
-		margin    = 500 * time.Millisecond
-		stopAfter = 10 * time.Second // from the confirmation until the targets of the zone stop
-		end       = changeAt + 14
-		evacuated = "zb"
+		killAfter  = 300 * time.Millisecond // from the confirmation
+		startAfter = 500 * time.Millisecond // from the end of the process
+		restarted  = "front-zb-1"
+	)
+	return evacuation(rec, root, trouble, func(m *machine) bool { return m.Name == restarted }, func(s *stage) error {
+		time.Sleep(killAfter)
+		for _, m := range s.machines {
+			if m.Name == restarted {
+				return m.restart(root, s.words, startAfter)
+			}
+		}
+		return fmt.Errorf("no machine %s", restarted)
+	})
+}
+
+// evacuation plays an evacuation after the store has come back. after is called once the evacuation is
+// confirmed; the machines for which judged returns true are judged.
+func evacuation(rec *record, root string, trouble bool, judged func(*machine) bool, after func(*stage) error) ([]string, error) {
+	const (
+		evacuate = 5 * time.Second // evacuate_ms
+		margin   = 500 * time.Millisecond
+		end      = changeAt + 14
 	)
 	s, err := newStage(rec, root, trouble, baseBounds, baseContracts)
 	if err != nil {
@@ -181,55 +217,55 @@
 	if err := s.start(); err != nil {
 		return nil, err
 	}
-	var confirmed, stopped time.Time
+	var confirmed time.Time
+	var afterErr error
 	changed := make(chan struct{})
 	go func() {
 		defer close(changed)
 		s.restoreStore(backAt, copyAge)
 		s.until(changeAt)
-		version, _ := s.store.put("op", "evacuate/"+evacuated, map[string]any{})
+		version, _ := s.store.put("op", "evacuate/"+evacuatedZone, map[string]any{})
 		confirmed = time.Now()
-		rec.printf("operator: evacuation of %s confirmed, row version %d", evacuated, version)
-		time.Sleep(stopAfter)
-		stopped = time.Now()
-		for _, t := range s.targets {
-			if t.zone == evacuated {
-				rec.printf("target %s stops", t.id)
-				t.close()
-			}
-		}
+		rec.printf("operator: evacuation of %s confirmed, row version %d", evacuatedZone, version)
+		afterErr = after(s)
 	}()
 	s.traffic(100*time.Millisecond, end, func(m *machine, n int) {
 		path := []string{"/stay/", "/other/"}[n%2]
 		s.callers.do(m, call{method: http.MethodPost, host: host, path: fmt.Sprintf("%s%d", path, n), body: []byte("body"), deadline: callTimeout})
 	})
 	<-changed
-	zones := map[string]string{}
+	if afterErr != nil {
+		return nil, afterErr
+	}
+	zones, machines := map[string]string{}, map[string]*machine{}
 	for _, t := range s.targets {
 		zones[t.id] = t.zone
 	}
+	for _, m := range s.machines {
+		machines[m.Name] = m
+	}
 	var violations []string
-	judged, lost := 0, 0
+	runCount, lost := 0, 0
 	runs := s.runsByID()
 	for _, q := range s.callers.results() {
 		for _, r := range runs[q.id] {
-			if r.at.Before(confirmed.Add(evacuate + margin)) {
+			if r.at.Before(confirmed.Add(evacuate+margin)) || !judged(machines[q.machine]) {
 				continue
 			}
-			judged++
-			if zones[r.target] != evacuated {
+			runCount++
+			if zones[r.target] != evacuatedZone {
 				continue
 			}
 			violations = append(violations, fmt.Sprintf("EVAC: request %s, sent to %s, ran at target %s of zone %s %.1f s after the confirmation",
-				q.id, q.machine, r.target, evacuated, r.at.Sub(confirmed).Seconds()))
-			if q.stamp == "" && !r.at.After(stopped) {
+				q.id, q.machine, r.target, evacuatedZone, r.at.Sub(confirmed).Seconds()))
+			if q.stamp == "" {
 				lost++
 			}
 		}
 	}
-	rec.printf("judged %d runs; %d requests ran at targets of the zone and lost their answers when these stopped", judged, lost)
-	fmt.Printf("%d requests that ran in the zone lost their answers when its targets stopped\n", lost)
-	if judged == 0 {
+	rec.printf("judged %d runs; %d requests that ran in the zone got no answer of its targets", runCount, lost)
+	fmt.Printf("%d requests that ran in the zone got no answer of its targets\n", lost)
+	if runCount == 0 {
 		return nil, fmt.Errorf("no run to judge")
 	}
 	return violations, nil
--- a/review/standins-3/stage.go
+++ b/review/standins-3/stage.go
@@ -5,7 +5,9 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -55,11 +57,15 @@
 	targets    []*target
 	callers    *callers
 	origin     time.Time // start of traffic
+	words      []string  // of the run line in the deploy file
 
 	mu   sync.Mutex
 	runs []run
 }
 
+// current is the stage that is played.
+var current atomic.Pointer[stage]
+
 // newStage starts the store and the targets. net is the second byte of all addresses.
 func newStage(rec *record, root string, trouble bool, bounds, contracts string) (*stage, error) {
 	dir, err := os.MkdirTemp("", "review-3-")
@@ -67,6 +73,7 @@
 		return nil, err
 	}
 	s := &stage{record: rec, root: root, dir: dir, trouble: trouble, callers: newCallers(rec, "r")}
+	current.Store(s)
 	network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)) //nolint:gosec // no secret
 	zones := []zone{{"za", "east"}, {"zb", "east"}}
 	if s.store, err = startStore(rec, network+".250"); err != nil {
@@ -104,9 +111,9 @@
 	if _, err := toml.DecodeFile(filepath.Join(s.root, "deploy", "system.toml"), &file); err != nil {
 		return err
 	}
-	words := splitWords(file.Roles["entry"].Run)
+	s.words = strings.Fields(file.Roles["entry"].Run)
 	for _, m := range s.machines {
-		if err := m.start(s.root, words); err != nil {
+		if err := m.start(s.root, s.words); err != nil {
 			return err
 		}
 	}
@@ -170,7 +177,9 @@
 	for _, t := range s.targets {
 		t.close()
 	}
-	s.store.close()
+	if s.store != nil {
+		s.store.close()
+	}
 	_ = os.RemoveAll(s.dir)
 }
 
--- a/review/standins-3/target.go
+++ b/review/standins-3/target.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -57,17 +58,19 @@
 	return nil
 }
 
-// beat writes the row of the target until it is closed.
+// beat writes the row of the target until it is closed: at once, and then at each heartbeat from a random
+// moment on, so that the targets don't write together.
 func (t *target) beat() {
-	ticker := time.NewTicker(heartbeat)
-	defer ticker.Stop()
+	t.register()
+	next := time.Duration(rand.Float64() * float64(heartbeat)) //nolint:gosec // no secret
 	for {
-		t.register()
 		select {
 		case <-t.stopped:
 			return
-		case <-ticker.C:
+		case <-time.After(next):
 		}
+		t.register()
+		next = heartbeat
 	}
 }
 
--- a/review/standins-3/vm.go
+++ b/review/standins-3/vm.go
@@ -163,6 +163,20 @@
 	return nil
 }
 
+// restart kills the process and starts it again some time after its end, no longer as a part of the first
+// start of the whole system.
+func (m *machine) restart(root string, words []string, pause time.Duration) error {
+	m.record.printf("machine %s is killed", m.Name)
+	_ = m.process.Process.Kill()
+	<-m.ended
+	time.Sleep(pause)
+	m.Bootstrap = false
+	if err := m.writeSettings(); err != nil {
+		return err
+	}
+	return m.start(root, words)
+}
+
 // running reports whether the process runs.
 func (m *machine) running() bool {
 	select {
