--- a/review/standins-3/vm.go
+++ b/review/standins-3/vm.go
@@ -24,11 +24,11 @@
 
 // machine is a machine that runs one process of the daemon, started as deploy/system.toml says.
 type machine struct {
-	Name, IP, Zone, Region         string
-	Front, Ready, Control, Metrics string
-	FirstPort, LastPort            int
-	Bootstrap                      bool
-	Deployment                     *deployment
+	Name, IP, Zone, Region string
+	Front, Ready           string
+	FirstPort, LastPort    int
+	Bootstrap              bool
+	Deployment             *deployment
 
 	dir     string
 	record  *record
