--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 // Exit codes.
@@ -19,6 +20,10 @@
 	notRun = 2
 )
 
+// timeLimit is the time after which a case ends as one that could not run. It leaves some seconds of the
+// 120 that a script may take for the end of its processes.
+const timeLimit = 110 * time.Second
+
 // cases holds the cases by name. Each returns the violations of its rule.
 var cases = map[string]func(rec *record, root string, trouble bool) (violations []string, err error){
 	"incomplete-entry":  incompleteEntry,
@@ -34,6 +39,7 @@
 	name := flag.String("case", "", "name of the case")
 	root := flag.String("root", ".", "root of the repository")
 	out := flag.String("record", "record.txt", "file for the record")
+	trouble := flag.Bool("trouble", true, "whether the disruption takes place")
 	flag.Parse()
 	play, ok := cases[*name]
 	if !ok {
@@ -54,13 +60,18 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+			rec.printf("ended by a signal")
+		case <-time.After(timeLimit):
+			rec.printf("the case took too long")
+		}
 		if s := current.Load(); s != nil {
 			s.close()
 		}
 		os.Exit(notRun)
 	}()
-	violations, err := play(rec, absolute, os.Getenv("TROUBLE") != "0")
+	violations, err := play(rec, absolute, *trouble)
 	if err != nil {
 		rec.printf("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, "the case could not run:", err)
