replica, entry: versions of the store are compared within an era

Callers were served by a configuration that had been replaced: after the store had come back from a copy, VMs never applied what operators wrote.

Cause: the store gives versions out again when it comes back from a copy. A copy of a table took a whole table with a lower version for an old one and dropped it; once the store's versions had passed that of the copy, the feed went on after it, and what had been written below was never read. Meanwhile each VM read each table every 50 ms.

A copy enters a later era with a whole table, and ignores answers of an earlier one. If an answer has another era than the copy, the reader fetches the whole table. A read that shows the store behind the copy counts as failed, so the next one waits.

--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -65,6 +66,10 @@
 	maxAgeCheckInterval = 200 * time.Millisecond
 )
 
+// errOlderStore means that the store has answered with a version that is older than one that it had given
+// out before.
+var errOlderStore = errors.New("the store has an older version than the copy")
+
 // relayRoles reports which roles this VM takes itself to have; see statesync.Syncer.
 type relayRoles interface {
 	IsRelay() bool
@@ -139,7 +144,7 @@
 		if version == 0 && !r.mayReadInitially(now.Sub(started)) {
 			continue
 		}
-		if err := r.read(ctx, version); err != nil {
+		if err := r.read(ctx, r.table.Position()); err != nil {
 			var noResponse *platform.NoResponseError
 			if errors.As(err, &noResponse) && !noResponse.NewConnection {
 				continue // kept connections were closed, so the next read opens a new one
@@ -208,7 +213,9 @@
 	return f.ShowsOutage()
 }
 
-func (r *tableReader) read(ctx context.Context, version uint64) error {
+// read reads what has changed in the store after the position of the copy, or the whole table if that
+// is not possible.
+func (r *tableReader) read(ctx context.Context, copied replica.Position) error {
 	wait := time.Duration(0)
 	if r.waitsForChanges(time.Now()) {
 		wait = time.Duration(regionRelayAgeShare*float64(r.maxChangeDelay())) * r.ageFactor
@@ -217,24 +224,14 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent, sentAt := time.Now(), suspendclock.Now()
-	var c replica.Changes
-	var err error
-	if version == 0 {
-		c, err = r.store.Read(ctx, r.table.Name())
-	} else {
-		c, err = r.store.Changes(ctx, r.table.Name(), version, wait)
-		if errors.Is(err, platform.ErrCompacted) {
-			_ = level.Info(r.log).Log("msg", "store no longer has the changes after the version of the copy; reading the whole table", "table", r.table.Name())
-			c, err = r.store.Read(ctx, r.table.Name())
-		}
-	}
+	c, err := r.fetch(ctx, copied, wait)
 	if err != nil {
 		r.store.CloseIdleConnections()
 		if r.showsOutage(ctx, err, time.Since(sent), timeout) {
 			r.recordOutage(sent)
 		}
 		if !r.failing {
-			_ = level.Warn(r.log).Log("msg", "read of a store table failed", "table", r.table.Name(), "version", version, "err", err)
+			_ = level.Warn(r.log).Log("msg", "read of a store table failed", "table", r.table.Name(), "version", copied.Version, "era", copied.Era, "err", err)
 		}
 		r.failing = true
 		return err
@@ -254,6 +251,12 @@
 		_ = level.Error(r.log).Log("msg", "changes from the store start after the version of the copy", "table", r.table.Name(), "after", c.BaseVersion)
 		return errors.New("changes from the store start after the version of the copy")
 	}
+	if p := r.table.Position(); p.Compare(replica.Position{Era: cmp.Or(c.Era, copied.Era), Version: c.Version}) > 0 && p == copied {
+		// Without a pause, the copy would remain as old and be read again at once.
+		_ = level.Warn(r.log).Log("msg", "the store has an older version than the copy", "table", r.table.Name(),
+			"version", c.Version, "era", c.Era, "copy_version", p.Version, "copy_era", p.Era)
+		return errOlderStore
+	}
 	// The store may have answered at any time after the request was sent, also if it waited for a
 	// change, so only the time of sending is proven.
 	if !c.Partial {
@@ -262,3 +265,22 @@
 	r.onChange()
 	return nil
 }
+
+// fetch calls the store for read. Changes are of use only if they continue the versions of the copy:
+// once the store has come back from a copy of its own, it has other rows under the same versions.
+func (r *tableReader) fetch(ctx context.Context, copied replica.Position, wait time.Duration) (replica.Changes, error) {
+	if copied.Version == 0 {
+		return r.store.Read(ctx, r.table.Name())
+	}
+	c, err := r.store.Changes(ctx, r.table.Name(), copied.Version, wait)
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		_ = level.Info(r.log).Log("msg", "store no longer has the changes after the version of the copy; reading the whole table", "table", r.table.Name())
+	case err != nil || c.Era == 0 || c.Era == copied.Era:
+		return c, err
+	case copied.Era != 0:
+		_ = level.Warn(r.log).Log("msg", "store came back from a copy; reading the whole table", "table", r.table.Name(),
+			"era", c.Era, "copy_version", copied.Version, "copy_era", copied.Era)
+	}
+	return r.store.Read(ctx, r.table.Name())
+}
--- a/internal/entry/registration_test.go
+++ b/internal/entry/registration_test.go
@@ -51,7 +51,7 @@
 
 func (v *relayedVMs) pass() {
 	v.reader.refresh(after(v.ms))
-	if c := v.reader.registry.Since(v.sent); c.Full || len(c.Rows) > 0 {
+	if c := v.reader.registry.Since(replica.Position{Version: v.sent}); c.Full || len(c.Rows) > 0 {
 		v.follower.registry.Apply(c, after(v.ms))
 		v.sent = c.Version
 	}
@@ -134,7 +134,7 @@
 	started := newTestState()
 	started.registry.Apply(replica.Changes{Full: true, Version: 4, Rows: []replica.Row{heartbeatRow(4, 5, 3, "ready")}}, after(vms.ms))
 	started.refresh(after(vms.ms))
-	started.registry.Apply(vms.reader.registry.Since(0), after(vms.ms))
+	started.registry.Apply(vms.reader.registry.Since(replica.Position{}), after(vms.ms))
 	started.refresh(after(vms.ms + 1))
 	if s, ok := started.fleet.Server("x"); !ok || !s.Draining {
 		t.Errorf("server %+v (%v), want one that drains", s, ok)
--- a/internal/replica/order_test.go
+++ b/internal/replica/order_test.go
@@ -74,7 +74,7 @@
 			for _, r := range c.steps {
 				version, _, _ := relay.State()
 				relay.Apply(replica.Changes{BaseVersion: version, Version: r.Version, Rows: []replica.Row{r}}, epoch)
-				if changes := relay.Since(sent); len(changes.Rows) > 0 {
+				if changes := relay.Since(replica.Position{Version: sent}); len(changes.Rows) > 0 {
 					follower.Apply(changes, epoch)
 					sent = changes.Version
 				}
@@ -118,7 +118,7 @@
 				whole.Rows = c.own
 			}
 			own.Apply(whole, epoch)
-			own.Apply(sibling.Since(0), epoch)
+			own.Apply(sibling.Since(replica.Position{Version: 0}), epoch)
 			if len(whole.Rows) == 0 {
 				own.Apply(replica.Changes{BaseVersion: 9, Version: c.own[0].Version, Rows: c.own}, epoch)
 			}
@@ -136,7 +136,7 @@
 	sibling, own := replica.NewOrdered("t", nil, unordered), replica.NewOrdered("t", nil, unordered)
 	sibling.Apply(replica.Changes{Full: true, Version: 5, Rows: []replica.Row{row("x", "ready", 5)}}, epoch)
 	own.Apply(replica.Changes{Full: true, Version: 9, Rows: []replica.Row{row("x", "leaving", 9)}}, epoch)
-	own.Apply(sibling.Since(0), epoch)
+	own.Apply(sibling.Since(replica.Position{Version: 0}), epoch)
 	if r, _ := own.Get("x"); string(r.Value) != "leaving" || r.Latest != nil {
 		t.Errorf("row %q with latest %q, want leaving and no other", r.Value, r.Latest)
 	}
@@ -153,7 +153,7 @@
 	sibling.Apply(replica.Changes{Full: true, Version: 8, Rows: []replica.Row{row("x", "7 ready", 8)}}, epoch)
 	own.Apply(replica.Changes{Full: true, Version: 2, Rows: []replica.Row{row("x", "1 ready", 2)}}, epoch)
 	own.Apply(replica.Changes{BaseVersion: 2, Version: 9}, epoch) // equivalent values are not passed on
-	own.Apply(sibling.Since(0), epoch)
+	own.Apply(sibling.Since(replica.Position{Version: 0}), epoch)
 	if r, ok := own.Get("x"); !ok || string(r.Value) != "7 ready" || r.Latest != nil {
 		t.Errorf("row %q (%v) with latest %q, want that of the sibling", r.Value, ok, r.Latest)
 	}
@@ -204,7 +204,7 @@
 		store := &orderedStore{version: 1}
 		relay, follower, second := newOrdered(), newOrdered(), newOrdered()
 		store.read(relay)
-		follower.Apply(relay.Since(0), epoch)
+		follower.Apply(relay.Since(replica.Position{Version: 0}), epoch)
 		latest := map[*replica.Table]int{}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			switch rapid.IntRange(0, 7).Draw(t, "step") {
@@ -221,12 +221,12 @@
 				store.read(relay)
 			case 5:
 				after, _, _ := follower.State()
-				follower.Apply(relay.Since(after), epoch)
+				follower.Apply(relay.Since(replica.Position{Version: after}), epoch)
 			case 6:
 				store.read(second)
 			case 7:
 				if version, _, _ := second.State(); version > 0 {
-					second.Apply(relay.Since(0), epoch)
+					second.Apply(relay.Since(replica.Position{Version: 0}), epoch)
 				}
 			}
 			for _, copied := range []*replica.Table{relay, follower, second} {
@@ -246,9 +246,9 @@
 		}
 		store.read(relay)
 		store.read(second)
-		second.Apply(relay.Since(0), epoch)
+		second.Apply(relay.Since(replica.Position{Version: 0}), epoch)
 		after, _, _ := follower.State()
-		follower.Apply(relay.Since(after), epoch)
+		follower.Apply(relay.Since(replica.Position{Version: after}), epoch)
 		x, inRelay := relay.Get("x")
 		for name, copied := range map[string]*replica.Table{"follower": follower, "second reader": second} {
 			y, ok := copied.Get("x")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -6,7 +6,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +27,7 @@
 type Row struct {
 	Key     string
 	Value   []byte
+	Era     Era // 0 in Changes: that of the changes
 	Version uint64
 	Removed bool
 	// Latest is the value that the writer of the row wrote last, as far as this copy has seen, if the
@@ -39,9 +39,10 @@
 }
 
 // Changes holds the rows of a table that changed after BaseVersion of the store,
-// up to and including Version.
+// up to and including Version. Both are versions of Era.
 type Changes struct {
 	Rows        []Row
+	Era         Era
 	BaseVersion uint64
 	Version     uint64
 	// Full is true if Rows is the whole table at Version.
@@ -65,12 +66,13 @@
 
 	mu             sync.Mutex
 	rows           map[string]entry
+	era            Era                  // of version
 	version        uint64               // store version up to which the copy is complete; 0: nothing read yet
 	history        outage.History       // of the reads that led to this copy; AsOf is that of the latest version
 	failedAt       time.Time            // see RecordOutage
 	readAsOf       time.Time            // the same for the reads of this process alone
 	provenAsOf     suspendclock.Instant // see Prove
-	tombstoneFloor uint64               // removals up to this version may have no tombstone: it was dropped, or they came before the first read
+	tombstoneFloor uint64               // removals of this era up to this version may have no tombstone: it was dropped, or they came before the first read
 	tombstoneCount int
 	changeCount    uint64 // number of changes so far, without changes to equivalent values
 }
@@ -78,7 +80,7 @@
 // entry is a row, or the tombstone of a removed row.
 type entry struct {
 	Row
-	changedVersion uint64 // version of the latest change to a value that is not equivalent
+	changedVersion uint64 // version of the latest change to a value that is not equivalent, in the era of the row
 }
 
 // New returns an empty copy of the table with the given name. If equal is nil, values are
@@ -110,6 +112,13 @@
 	return t.version, t.history.AsOf, t.changeCount
 }
 
+// Position returns the version of the copy and its era.
+func (t *Table) Position() Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Position{t.era, t.version}
+}
+
 // History returns what is known of the reads of the store that led to this copy.
 func (t *Table) History() outage.History {
 	t.mu.Lock()
@@ -129,9 +138,10 @@
 
 // Apply merges changes that were read from the store at asOf. It returns false and
 // changes nothing if the changes start from a version that the copy has not
-// reached, or if nothing was read yet and the changes are not the whole table.
+// reached, or if nothing of their era was read yet and they are not the whole table.
 // If Apply returns false, the caller must obtain the whole table. For changes older
 // than the copy it returns true and takes over only which values were the latest.
+// Changes without an era are taken to be of the era of the copy.
 func (t *Table) Apply(c Changes, asOf time.Time) bool {
 	return t.ApplyCopy(c, outage.History{AsOf: asOf, Since: asOf})
 }
@@ -140,10 +150,20 @@
 func (t *Table) ApplyCopy(c Changes, h outage.History) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !c.Full && (t.version == 0 || c.BaseVersion > t.version) {
+	if c.Era == 0 {
+		c.Era = t.era
+	}
+	c.Rows = rowsOfEra(c.Rows, c.Era)
+	if !c.Full && c.Era >= t.era && (t.version == 0 || c.Era > t.era || c.BaseVersion > t.version) {
 		return false
 	}
-	if c.Version < t.version {
+	switch {
+	case t.version == 0:
+		t.era = c.Era
+	case c.Era > t.era:
+		t.enterEra(c)
+	}
+	if c.Era < t.era || c.Version < t.version {
 		// The copy is already newer.
 		for _, r := range c.Rows {
 			t.learnLatest(r)
@@ -170,8 +190,8 @@
 		present[r.Key] = true
 	}
 	for key, e := range t.rows {
-		if !e.Removed && !present[key] && e.Version <= c.Version {
-			t.merge(Row{Key: key, Version: c.Version, Removed: true})
+		if !e.Removed && !present[key] && e.position().Compare(Position{c.Era, c.Version}) <= 0 {
+			t.merge(Row{Key: key, Era: c.Era, Version: c.Version, Removed: true})
 		}
 	}
 	for _, r := range c.Rows {
@@ -187,7 +207,7 @@
 // hold mu.
 func (t *Table) merge(r Row) {
 	old, ok := t.rows[r.Key]
-	if ok && r.Version <= old.Version {
+	if ok && r.position().Compare(old.position()) <= 0 {
 		t.learnLatest(r)
 		return
 	}
@@ -198,7 +218,9 @@
 	}
 	switch {
 	case !r.Removed && wasPresent && t.equivalent(old.Row, e.Row):
-		e.changedVersion = old.changedVersion
+		if old.Era == r.Era {
+			e.changedVersion = old.changedVersion
+		}
 	default:
 		t.changeCount++
 	}
@@ -251,7 +273,10 @@
 		return
 	}
 	old, ok := t.rows[r.Key]
-	if ok && r.Version > old.Version {
+	if !ok && r.Era < t.era {
+		return // the store may have lost the row without its removal
+	}
+	if ok && r.position().Compare(old.position()) > 0 {
 		// What this copy has is equivalent to a newer version, unless the writer has written r later.
 		if !r.Removed && !t.older(r.Value, old.Value) {
 			t.merge(r)
@@ -259,7 +284,7 @@
 		return
 	}
 	if !ok {
-		old = entry{Row: Row{Key: r.Key, Version: r.Version, Removed: true}, changedVersion: r.Version}
+		old = entry{Row: Row{Key: r.Key, Era: r.Era, Version: r.Version, Removed: true}, changedVersion: r.Version}
 	}
 	latest, removed := old.latest()
 	seen, seenRemoved := r.latest()
@@ -307,7 +332,9 @@
 func (t *Table) dropTombstones() {
 	for key, e := range t.rows {
 		if e.Removed {
-			t.tombstoneFloor = max(t.tombstoneFloor, e.Version)
+			if e.Era == t.era {
+				t.tombstoneFloor = max(t.tombstoneFloor, e.Version)
+			}
 			delete(t.rows, key)
 		}
 	}
@@ -321,7 +348,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if asOf.After(t.readAsOf) {
+	if (c.Era == 0 || c.Era == t.era) && asOf.After(t.readAsOf) {
 		t.readAsOf = asOf
 	}
 	return true
@@ -367,19 +394,22 @@
 	return t.provenAsOf
 }
 
-// Since returns the rows that changed after version, without those that changed
-// only to an equivalent value. It returns the whole table if version is 0 or if
-// tombstones of later removals were dropped. The whole table includes the rows that were removed last,
+// Since returns the rows that changed after p, without those that changed
+// only to an equivalent value. It returns the whole table if p is of another era, if its version is
+// 0 or if tombstones of later removals were dropped. The whole table includes the rows that were removed last,
 // if their latest values are known.
-func (t *Table) Since(version uint64) Changes {
+func (t *Table) Since(p Position) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Changes{BaseVersion: version, Version: t.version, Full: version < t.tombstoneFloor || version == 0}
+	c := Changes{
+		Era: t.era, BaseVersion: p.Version, Version: t.version,
+		Full: p.Era != t.era || p.Version < t.tombstoneFloor || p.Version == 0,
+	}
 	if c.Full {
 		c.BaseVersion = 0
 	}
 	for _, e := range t.rows {
-		if c.Full && !e.Removed || !c.Full && e.changedVersion > version {
+		if c.Full && !e.Removed || !c.Full && e.Era == t.era && e.changedVersion > p.Version {
 			c.Rows = append(c.Rows, e.Row)
 		}
 	}
@@ -412,7 +442,7 @@
 			removed = append(removed, e.Row)
 		}
 	}
-	slices.SortFunc(removed, func(a, b Row) int { return cmp.Compare(b.Version, a.Version) })
+	slices.SortFunc(removed, func(a, b Row) int { return b.position().Compare(a.position()) })
 	return removed[:min(len(removed), maxSentTombstones)]
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -56,7 +56,7 @@
 	relay.Apply(replica.Changes{Full: true, Version: 3}, epoch)
 	follower.Apply(replica.Changes{Full: true, Version: 5, Rows: []replica.Row{row("x", "v", 5)}}, epoch)
 	relay.Apply(replica.Changes{BaseVersion: 3, Version: 7, Rows: []replica.Row{{Key: "x", Version: 6, Removed: true}}}, epoch)
-	if !follower.Apply(relay.Since(3), epoch) {
+	if !follower.Apply(relay.Since(replica.Position{Version: 3}), epoch) {
 		t.Fatal("the changes were refused")
 	}
 	if r, ok := follower.Get("x"); ok {
@@ -74,11 +74,11 @@
 	if _, _, after := c.State(); after != before {
 		t.Error("an equivalent value was counted as a change")
 	}
-	if got := c.Since(1); len(got.Rows) != 0 || got.Version != 2 {
+	if got := c.Since(replica.Position{Version: 1}); len(got.Rows) != 0 || got.Version != 2 {
 		t.Errorf("Since(1) = %+v, want no rows and version 2", got)
 	}
 	c.Apply(replica.Changes{BaseVersion: 2, Version: 3, Rows: []replica.Row{row("a", "y", 3)}}, epoch)
-	if got := c.Since(1); len(got.Rows) != 1 {
+	if got := c.Since(replica.Position{Version: 1}); len(got.Rows) != 1 {
 		t.Errorf("Since(1) = %+v, want one row", got)
 	}
 }
@@ -110,7 +110,7 @@
 				}
 			case 3:
 				if copyVersion, _, _ := reader.State(); copyVersion > sentVersion {
-					c := reader.Since(sentVersion)
+					c := reader.Since(replica.Position{Version: sentVersion})
 					if !follower.Apply(c, epoch) {
 						t.Fatalf("follower did not apply the changes %+v", c)
 					}
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -250,7 +250,7 @@
 		var c replica.Changes
 		if version <= peerState.version {
 			c = replica.Changes{BaseVersion: version, Version: version}
-		} else if c = t.Since(peerState.version); len(c.Rows) == 0 && !c.Full && !refreshDue && len(superseded) == 0 {
+		} else if c = t.Since(replica.Position{Era: t.Position().Era, Version: peerState.version}); len(c.Rows) == 0 && !c.Full && !refreshDue && len(superseded) == 0 {
 			continue // only equivalent values changed; the next refresh sends the version
 		}
 		if version >= peerState.version {
@@ -296,7 +296,7 @@
 			continue
 		}
 		proof := p.proof(t, m)
-		c := t.Since(peerState.version)
+		c := t.Since(replica.Position{Era: t.Position().Era, Version: peerState.version})
 		p.mu.Lock()
 		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
 		p.mu.Unlock()
