replica: a read that the copy did not take over proves nothing

A read that the copy had dropped was recorded as proof that the copy is complete, since its version was lower than that of the copy.

Change: a proof names the era of its version and has no effect on a copy of another era.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -418,7 +418,7 @@
 	apply := func(c replica.Changes) suspendclock.Instant {
 		sentAt := suspendclock.Now()
 		state.operator.Apply(c, after(0))
-		state.operator.Prove(c.Version, sentAt)
+		state.operator.Prove(replica.Position{Version: c.Version}, sentAt)
 		return sentAt
 	}
 	inForceAsOf := func() suspendclock.Instant { return suspendclock.Instant(state.configurationAsOf.Load()) }
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -251,7 +251,8 @@
 		_ = level.Error(r.log).Log("msg", "changes from the store start after the version of the copy", "table", r.table.Name(), "after", c.BaseVersion)
 		return errors.New("changes from the store start after the version of the copy")
 	}
-	if p := r.table.Position(); p.Compare(replica.Position{Era: cmp.Or(c.Era, copied.Era), Version: c.Version}) > 0 && p == copied {
+	read := replica.Position{Era: cmp.Or(c.Era, copied.Era), Version: c.Version}
+	if p := r.table.Position(); read.Compare(p) < 0 && p == copied {
 		// Without a pause, the copy would remain as old and be read again at once.
 		_ = level.Warn(r.log).Log("msg", "the store has an older version than the copy", "table", r.table.Name(),
 			"version", c.Version, "era", c.Era, "copy_version", p.Version, "copy_era", p.Era)
@@ -260,7 +261,7 @@
 	// The store may have answered at any time after the request was sent, also if it waited for a
 	// change, so only the time of sending is proven.
 	if !c.Partial {
-		r.table.Prove(c.Version, sentAt)
+		r.table.Prove(read, sentAt)
 	}
 	r.onChange()
 	return nil
--- a/internal/replica/era_test.go
+++ b/internal/replica/era_test.go
@@ -87,3 +87,23 @@
 		t.Errorf("copy is at %v, want version 35 of era 3", p)
 	}
 }
+
+// Guards against a copy that seems up to date because of a read that it did not take over, so that a
+// key that was taken away goes on working.
+func TestReadOfAnotherEraProvesNothing(t *testing.T) {
+	c := replica.New("t", nil)
+	c.Apply(replica.Changes{Era: 1, Full: true, Version: 90}, epoch)
+	c.Prove(replica.Position{Era: 2, Version: 40}, 100)
+	if got := c.ProvenAsOf(); got != 0 {
+		t.Errorf("a read of a later era proves that the copy is complete as of %v", got)
+	}
+	c.Apply(replica.Changes{Era: 2, Full: true, Version: 40}, epoch)
+	c.Prove(replica.Position{Era: 1, Version: 30}, 100)
+	if got := c.ProvenAsOf(); got != 0 {
+		t.Errorf("a read of an earlier era proves that the copy is complete as of %v", got)
+	}
+	c.Prove(replica.Position{Era: 2, Version: 40}, 100)
+	if got := c.ProvenAsOf(); got != 100 {
+		t.Errorf("the copy is complete as of %v, want 100", got)
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -375,13 +375,14 @@
 	return h
 }
 
-// Prove records that a copy that has reached version has all changes that the store had accepted
-// before asOf. It has no effect if this copy has not reached the version. Unlike the time that State returns,
+// Prove records that a copy that has reached p has all changes that the store had accepted before
+// asOf. It has no effect if this copy is of another era or has not reached the version: a read that the
+// copy did not take over proves nothing about it. Unlike the time that State returns,
 // asOf is not an estimate: no delay on the way and no pause of a VM makes it too late.
-func (t *Table) Prove(version uint64, asOf suspendclock.Instant) {
+func (t *Table) Prove(p Position, asOf suspendclock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version <= t.version {
+	if p.Era == t.era && p.Version <= t.version {
 		t.provenAsOf = max(t.provenAsOf, asOf)
 	}
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -141,12 +141,12 @@
 func TestProofNeedsTheVersion(t *testing.T) {
 	c := replica.New("t", nil)
 	c.Apply(replica.Changes{Full: true, Version: 5}, epoch)
-	c.Prove(6, 100)
+	c.Prove(replica.Position{Version: 6}, 100)
 	if got := c.ProvenAsOf(); got != 0 {
 		t.Errorf("copy at version 5 is proven as of %d by a read of version 6", got)
 	}
-	c.Prove(5, 90)
-	c.Prove(4, 80)
+	c.Prove(replica.Position{Version: 5}, 90)
+	c.Prove(replica.Position{Version: 4}, 80)
 	if got := c.ProvenAsOf(); got != 90 {
 		t.Errorf("copy is proven as of %d, want 90", got)
 	}
--- a/internal/statesync/proof_test.go
+++ b/internal/statesync/proof_test.go
@@ -133,7 +133,7 @@
 			r := v.reads[0]
 			v.reads = v.reads[1:]
 			if v.table.ApplyRead(replica.Changes{Full: true, Version: r.version}, time.Unix(0, int64(c.now))) {
-				v.table.Prove(r.version, r.sentAt)
+				v.table.Prove(replica.Position{Version: r.version}, r.sentAt)
 			}
 		}
 		send := func(l *proofLink, from int) {
@@ -190,7 +190,7 @@
 		c.now += refreshInterval
 		if reader := c.vms[1]; round%readEvery == 0 {
 			reader.table.ApplyRead(replica.Changes{Full: true, Version: 1}, time.Unix(0, int64(c.now)))
-			reader.table.Prove(1, c.clock(reader))
+			reader.table.Prove(replica.Position{Version: 1}, c.clock(reader))
 		}
 		for _, pair := range [][2]int{{0, 1}, {0, 3}} {
 			l := c.links[pair]
--- a/internal/statesync/statesync_test.go
+++ b/internal/statesync/statesync_test.go
@@ -300,7 +300,7 @@
 	c.eventually("all VMs have a proof that is later than the start of the test", func() bool {
 		sentAt := suspendclock.Now()
 		reader.table.ApplyRead(replica.Changes{Full: true, Version: 7}, time.Now())
-		reader.table.Prove(7, sentAt)
+		reader.table.Prove(replica.Position{Version: 7}, sentAt)
 		reader.syncer.Notify()
 		for _, n := range c.nodes {
 			if n.table.ProvenAsOf() <= started {
