statesync: copies that VMs send each other state the era

The VM had read the evacuation and gave it up with the first message of a sibling.

Cause: messages carried versions of the store without the era, so a copy from before the store came back had the higher version and counted as newer.

Change: TableNews and StoreRow have the era. A VM sends its whole table to one of an earlier era, and nothing to one of a later era. A copy without an era, as VMs of the version before send it, replaces none that has one; these VMs are still sent changes by version.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -143,16 +143,25 @@
 // than the copy it returns true and takes over only which values were the latest.
 // Changes without an era are taken to be of the era of the copy.
 func (t *Table) Apply(c Changes, asOf time.Time) bool {
-	return t.ApplyCopy(c, outage.History{AsOf: asOf, Since: asOf})
-}
-
-// ApplyCopy is Apply for changes from the copy of a sibling with the given history.
-func (t *Table) ApplyCopy(c Changes, h outage.History) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c.Era == 0 {
 		c.Era = t.era
 	}
+	return t.apply(c, outage.History{AsOf: asOf, Since: asOf})
+}
+
+// ApplyCopy is Apply for changes from the copy of a sibling with the given history. If the era of
+// this copy is known, changes without an era count as older: their sender may have read the store
+// before it came back from a copy.
+func (t *Table) ApplyCopy(c Changes, h outage.History) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.apply(c, h)
+}
+
+// apply merges changes. The caller must hold mu.
+func (t *Table) apply(c Changes, h outage.History) bool {
 	c.Rows = rowsOfEra(c.Rows, c.Era)
 	if !c.Full && c.Era >= t.era && (t.version == 0 || c.Era > t.era || c.BaseVersion > t.version) {
 		return false
--- a/internal/statesync/codec.go
+++ b/internal/statesync/codec.go
@@ -75,12 +75,16 @@
 func encodeTable(now time.Time, name string, c replica.Changes, h outage.History) *siblingpb.TableNews {
 	out := &siblingpb.TableNews{
 		Table: name, Version: c.Version, After: c.BaseVersion, Whole: c.Full, AgeMs: ageMs(now, h.AsOf),
-		UnbrokenMs: clamp(int(h.Unbroken().Milliseconds())), AfterOutage: h.AfterOutage,
+		UnbrokenMs: clamp(int(h.Unbroken().Milliseconds())), AfterOutage: h.AfterOutage, Era: (*uint64)(&c.Era),
 	}
 	for _, r := range c.Rows {
-		out.Rows = append(out.Rows, &siblingpb.StoreRow{
+		row := &siblingpb.StoreRow{
 			Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed, Latest: r.Latest, LatestRemoved: r.LatestRemoved,
-		})
+		}
+		if r.Era != c.Era {
+			row.Era = uint64(r.Era)
+		}
+		out.Rows = append(out.Rows, row)
 	}
 	return out
 }
@@ -88,10 +92,10 @@
 // decodeTable returns the changes in a message that was received at now, and the history of the reads of
 // the store that led to them.
 func decodeTable(now time.Time, m *siblingpb.TableNews) (replica.Changes, outage.History) {
-	c := replica.Changes{BaseVersion: m.GetAfter(), Version: m.GetVersion(), Full: m.GetWhole()}
+	c := replica.Changes{Era: replica.Era(m.GetEra()), BaseVersion: m.GetAfter(), Version: m.GetVersion(), Full: m.GetWhole()}
 	for _, r := range m.GetRows() {
 		c.Rows = append(c.Rows, replica.Row{
-			Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved(),
+			Key: r.GetKey(), Value: r.GetValue(), Era: replica.Era(r.GetEra()), Version: r.GetVersion(), Removed: r.GetRemoved(),
 			Latest: r.GetLatest(), LatestRemoved: r.GetLatestRemoved(),
 		})
 	}
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -228,35 +228,34 @@
 		return
 	}
 	for _, t := range p.syncer.cfg.Tables {
-		version, _, _ := t.State()
-		history := t.History()
+		own, history := t.Position(), t.History()
 		asOf := history.AsOf
-		if version == 0 {
+		if own.Version == 0 {
 			continue
 		}
 		p.mu.Lock()
 		peerState := p.knownTables[t.Name()]
 		p.mu.Unlock()
+		known := peerState.positionBeside(own.Era)
+		order := own.Compare(known)
 		proof := p.proof(t, m)
 		newer := asOf.After(peerState.asOf) || p.improvesProof(t.Name(), proof)
 		var superseded []replica.Row
-		if !p.sentTables[t.Name()] && peerState.version != 0 {
+		if !p.sentTables[t.Name()] && known.Version != 0 {
 			superseded = t.Superseded()
 		}
 		p.sentTables[t.Name()] = true
-		if len(superseded) == 0 && (version < peerState.version || version == peerState.version && (!refreshDue || !newer)) {
+		if len(superseded) == 0 && (order < 0 || order == 0 && (!refreshDue || !newer)) {
 			continue
 		}
 		var c replica.Changes
-		if version <= peerState.version {
-			c = replica.Changes{BaseVersion: version, Version: version}
-		} else if c = t.Since(replica.Position{Era: t.Position().Era, Version: peerState.version}); len(c.Rows) == 0 && !c.Full && !refreshDue && len(superseded) == 0 {
+		if order <= 0 {
+			c = replica.Changes{Era: own.Era, BaseVersion: own.Version, Version: own.Version}
+		} else if c = t.Since(known); len(c.Rows) == 0 && !c.Full && !refreshDue && len(superseded) == 0 {
 			continue // only equivalent values changed; the next refresh sends the version
 		}
-		if version >= peerState.version {
-			p.mu.Lock()
-			p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
-			p.mu.Unlock()
+		if order >= 0 {
+			p.recordSent(t.Name(), c, asOf)
 		}
 		c.Rows = append(c.Rows, superseded...)
 		changes := p.encodeTable(now, t.Name(), c, history)
@@ -265,6 +264,13 @@
 	}
 }
 
+// recordSent records that the other VM is sent changes up to a version, complete as of a time.
+func (p *peer) recordSent(table string, c replica.Changes, asOf time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.knownTables[table] = tableState{position: replica.Position{Era: c.Era, Version: c.Version}, eraStated: true, asOf: asOf}
+}
+
 // encodeTable is encodeTable for this stream. History.Since is stated only if it differs from what was
 // stated before, since the other VM adds further reads to it.
 func (p *peer) encodeTable(now time.Time, name string, c replica.Changes, h outage.History) *siblingpb.TableNews {
@@ -288,18 +294,17 @@
 		return
 	}
 	for _, t := range p.syncer.cfg.Tables {
-		asOf := t.ReadAsOf()
+		asOf, era := t.ReadAsOf(), t.Position().Era
 		p.mu.Lock()
 		peerState := p.knownTables[t.Name()]
 		p.mu.Unlock()
-		if !asOf.After(peerState.asOf) {
+		known := peerState.positionBeside(era)
+		if !asOf.After(peerState.asOf) || era < known.Era {
 			continue
 		}
 		proof := p.proof(t, m)
-		c := t.Since(replica.Position{Era: t.Position().Era, Version: peerState.version})
-		p.mu.Lock()
-		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: asOf}
-		p.mu.Unlock()
+		c := t.Since(known)
+		p.recordSent(t.Name(), c, asOf)
 		changes := p.encodeTable(now, t.Name(), c, t.ReadHistory())
 		p.addProof(changes, proof)
 		m.Tables = append(m.Tables, changes)
--- a/internal/statesync/peer.go
+++ b/internal/statesync/peer.go
@@ -12,6 +12,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
 	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/recovery"
+	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/internal/sibling"
 	"goldcresthinge.example/goldcresthinge/internal/suspendclock"
 )
@@ -92,11 +93,22 @@
 	incarnation uint64
 }
 
-// tableState is the version of a table's copy and the time as of which it is
+// tableState is the position of a table's copy and the time as of which it is
 // complete.
 type tableState struct {
-	version uint64
-	asOf    time.Time
+	position replica.Position
+	// eraStated is false if the other VM does not know eras. The version of its copy is then taken to be
+	// of the era of this VM's copy.
+	eraStated bool
+	asOf      time.Time
+}
+
+// positionBeside returns the position of a copy as it compares to one of the given era.
+func (s tableState) positionBeside(era replica.Era) replica.Position {
+	if !s.eraStated && s.position.Version != 0 {
+		return replica.Position{Era: era, Version: s.position.Version}
+	}
+	return s.position
 }
 
 // newPeer returns this VM's end of a subscription to or from v. It neither sends
@@ -236,7 +248,7 @@
 		}
 		p.applyProof(t, m, echoMs)
 		p.mu.Lock()
-		p.knownTables[t.Name()] = tableState{version: c.Version, asOf: history.AsOf}
+		p.knownTables[t.Name()] = tableState{position: replica.Position{Era: c.Era, Version: c.Version}, eraStated: m.Era != nil, asOf: history.AsOf}
 		p.mu.Unlock()
 	}
 }
--- a/internal/statesync/proof.go
+++ b/internal/statesync/proof.go
@@ -73,6 +73,6 @@
 		return // not a time that this VM has sent
 	}
 	if asOf := echo.Add(-milliseconds(m.GetMaxAgeMs())); asOf > 0 {
-		t.Prove(replica.Position{Era: t.Position().Era, Version: m.GetVersion()}, asOf)
+		t.Prove(replica.Position{Era: replica.Era(m.GetEra()), Version: m.GetVersion()}, asOf)
 	}
 }
--- a/internal/statesync/proof_test.go
+++ b/internal/statesync/proof_test.go
@@ -30,8 +30,8 @@
 
 // proofRead is a read of the store whose answer has not arrived.
 type proofRead struct {
-	sentAt  suspendclock.Instant
-	version uint64
+	sentAt   suspendclock.Instant
+	position replica.Position // zero: the store has not answered yet
 }
 
 // proofLink is a subscription between two VMs with the messages that are on their way.
@@ -45,6 +45,7 @@
 type proofCluster struct {
 	now       time.Duration
 	committed []time.Duration // time at which each version, from 1, was accepted by the store
+	restored  []uint64        // for each era but the first: version of the copy from which the store came back
 	vms       []*proofVM
 	links     map[[2]int]*proofLink
 }
@@ -84,6 +85,23 @@
 	c.links[pair] = l
 }
 
+// position returns the latest position of the store.
+func (c *proofCluster) position() replica.Position {
+	return replica.Position{Era: replica.NewEra(uint64(len(c.restored))), Version: uint64(len(c.committed) - 1)}
+}
+
+// present returns the version up to which the copy of a VM has what the store has at present: a copy of
+// an earlier era has the versions that all copies since then had.
+func (c *proofCluster) present(v *proofVM) uint64 {
+	p := v.table.Position()
+	for era, version := range c.restored {
+		if p.Era < replica.NewEra(uint64(era+1)) {
+			p.Version = min(p.Version, version)
+		}
+	}
+	return p.Version
+}
+
 // check fails unless each copy has all changes that the store had accepted before the proven time.
 func (c *proofCluster) check(t *rapid.T) {
 	for i, v := range c.vms {
@@ -92,7 +110,7 @@
 			continue
 		}
 		at := time.Duration(proven) - v.offset
-		version, _, _ := v.table.State()
+		version := c.present(v)
 		for n := len(c.committed) - 1; n > 0; n-- {
 			if c.committed[n] < at && uint64(n) > version {
 				t.Fatalf("VM %d: copy at version %d is called complete as of %v, but version %d was accepted at %v", i, version, at, n, c.committed[n])
@@ -106,7 +124,7 @@
 
 // Guards against a copy that seems younger than it is: a message that was held up on a link, composed
 // before a freeze or passed on by a relay with an old copy, an answer of the store that was late, or
-// clocks that differ. A removed key would go on working.
+// clocks that differ, or a store that came back from a copy. A removed key would go on working.
 func TestProvenTimeIsNeverLaterThanTheCopy(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		offsets := make([]time.Duration, 4)
@@ -120,20 +138,20 @@
 		sendRead := func(v *proofVM) { v.reads = append(v.reads, proofRead{sentAt: c.clock(v)}) }
 		answerRead := func(v *proofVM) {
 			for i := range v.reads {
-				if v.reads[i].version == 0 {
-					v.reads[i].version = uint64(len(c.committed) - 1)
+				if v.reads[i].position == (replica.Position{}) {
+					v.reads[i].position = c.position()
 					return
 				}
 			}
 		}
 		receiveRead := func(v *proofVM) {
-			if len(v.reads) == 0 || v.reads[0].version == 0 {
+			if len(v.reads) == 0 || v.reads[0].position == (replica.Position{}) {
 				return
 			}
 			r := v.reads[0]
 			v.reads = v.reads[1:]
-			if v.table.ApplyRead(replica.Changes{Full: true, Version: r.version}, time.Unix(0, int64(c.now))) {
-				v.table.Prove(replica.Position{Version: r.version}, r.sentAt)
+			if v.table.ApplyRead(replica.Changes{Full: true, Era: r.position.Era, Version: r.position.Version}, time.Unix(0, int64(c.now))) {
+				v.table.Prove(r.position, r.sentAt)
 			}
 		}
 		send := func(l *proofLink, from int) {
@@ -152,6 +170,11 @@
 				c.now += time.Duration(rapid.Int64Range(1, int64(3*time.Second)).Draw(t, "for"))
 			},
 			"store accepts a change": func() { c.committed = append(c.committed, c.now) },
+			"store comes back from a copy": func() {
+				kept := rapid.IntRange(1, len(c.committed)).Draw(t, "versions of the copy")
+				c.committed = c.committed[:kept]
+				c.restored = append(c.restored, uint64(kept-1))
+			},
 			"VM sends a read":        func() { sendRead(drawVM(t)) },
 			"store answers a read":   func() { answerRead(drawVM(t)) },
 			"VM receives the answer": func() { receiveRead(drawVM(t)) },
