replica: a whole table leaves no tombstones behind it

Callers may be sent to a server whose row was removed; found by a property test, not seen with callers.

Cause: a copy that replaces an older one by a whole table does not see the removals in between of rows that it never had. It reported none of them to siblings whose copies are from in between, which then kept these rows.

Change: such a copy sends its whole table to siblings behind its version.

Evidence: TestWholeTableHidesRemovals failed before and passes.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -206,8 +206,8 @@
 	for _, r := range c.Rows {
 		t.merge(r)
 	}
-	if t.version == 0 {
-		t.tombstoneFloor = c.Version
+	if t.version < c.Version {
+		t.tombstoneFloor = c.Version // rows that were written and removed in between are not known
 	}
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// Guards against a relay that reports no removals of rows that were written and removed between its copy
+// and a whole table that it has received since.
+func TestWholeTableHidesRemovals(t *testing.T) {
+	relay, follower := replica.New("t", nil), replica.New("t", nil)
+	relay.Apply(replica.Changes{Full: true, Version: 2}, epoch)
+	follower.Apply(replica.Changes{Full: true, Version: 3, Rows: []replica.Row{row("x", "v", 3)}}, epoch)
+	relay.Apply(replica.Changes{Full: true, Version: 4}, epoch) // x was removed
+	if !follower.Apply(relay.Since(replica.Position{Version: 3}), epoch) {
+		t.Fatal("the changes were refused")
+	}
+	if _, ok := follower.Get("x"); ok {
+		t.Error("the follower still has the row")
+	}
+}
+
 // Guards against a relay that does not pass a removal on because it never had the row, while a sibling
 // that read the store at another time has it.
 func TestRemovalOfUnknownRowIsPassedOn(t *testing.T) {
