replica, entry: rows that a copy of the store lacks are lost, not removed

Callers would be sent to a failure domain that is out of service, be served with a key that was taken away or by a service that their route has left, once the store comes back from a copy that lacks what was confirmed.

Cause: a row that is missing in a whole table counted as removed. After a return from a copy it may have been written after the copy was taken.

Change: a row of an earlier era that is missing in a later one is lost and counts until the store says something of it; VMs send it to each other. The reader of the table of operators finds the rows that were removed meanwhile by asking once for the changes after a version that is older than the copy can be. The configuration with the highest version of its own counts.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -235,7 +235,7 @@
 		}
 		switch t {
 		case e.state.operator:
-			r.longPoll = true
+			r.longPoll, r.resolveLost = true, true
 		case e.state.members:
 			r.ageFactor = vmTableAgeFactor
 		case e.state.status:
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -78,12 +78,15 @@
 
 // tableReader keeps the copy of one table up to date.
 type tableReader struct {
-	table     *replica.Table
-	store     *platform.Store
-	roles     relayRoles
-	needed    func() bool   // whether the table has to be read at present; nil: always
-	longPoll  bool          // the store may delay the answer to a read until the table changes
-	ageFactor time.Duration // multiplies the age at which the table is read; a plain factor
+	table  *replica.Table
+	store  *platform.Store
+	roles  relayRoles
+	needed func() bool // whether the table has to be read at present; nil: always
+	// resolveLost is true if lost rows count until they are known to have been removed; see
+	// replica.Table.Unresolved.
+	resolveLost bool
+	longPoll    bool          // the store may delay the answer to a read until the table changes
+	ageFactor   time.Duration // multiplies the age at which the table is read; a plain factor
 	// maxChangeDelay returns the time within which a change has to reach all
 	// VMs.
 	maxChangeDelay func() time.Duration
@@ -273,8 +276,16 @@
 	if copied.Version == 0 {
 		return r.store.Read(ctx, r.table.Name())
 	}
-	c, err := r.store.Changes(ctx, r.table.Name(), copied.Version, wait)
+	after := copied.Version
+	if v, ok := r.table.Unresolved(); ok && r.resolveLost && v < after {
+		after = v
+	}
+	c, err := r.store.Changes(ctx, r.table.Name(), after, wait)
 	switch {
+	case errors.Is(err, platform.ErrCompacted) && after < copied.Version:
+		_ = level.Warn(r.log).Log("msg", "store no longer has the changes that show which lost rows were removed; these count until they are written or removed again",
+			"table", r.table.Name(), "after", after)
+		r.table.KeepUnresolved(copied.Era)
 	case errors.Is(err, platform.ErrCompacted):
 		_ = level.Info(r.log).Log("msg", "store no longer has the changes after the version of the copy; reading the whole table", "table", r.table.Name())
 	case err != nil || c.Era == 0 || c.Era == copied.Era:
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -254,7 +254,7 @@
 		{Key: platform.RolloutStatusKey(service), Value: status}, {Key: platform.RolloutProgressKey(service), Value: progress},
 	}
 	for i := range rows {
-		if row, ok := r.state.status.Get(rows[i].Key); ok {
+		if row, ok := r.state.status.Get(rows[i].Key); ok && !row.Lost {
 			rows[i].Version = row.Version
 		}
 	}
--- a/internal/entry/rollout_state.go
+++ b/internal/entry/rollout_state.go
@@ -17,7 +17,7 @@
 	orders, progress := map[string]canary.Order{}, map[string]canary.Progress{}
 	for _, row := range d.operator.Rows() {
 		service, ok := platform.RolloutService(row.Key)
-		if !ok {
+		if !ok || row.LatestRemoved {
 			continue
 		}
 		o, err := platform.DecodeRollout(service, row.Value, row.Version)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -25,6 +25,10 @@
 // it. A live server writes its row again within two seconds.
 const lapseGracePeriod = 2200 * time.Millisecond
 
+// lostVMTimeout is how long a VM counts as registered whose row the store has lost. A live VM writes it
+// again well before.
+const lostVMTimeout = maxSilence
+
 // deploymentState is what this VM knows of the deployment, decoded from its
 // copies of the store's tables. Its methods are safe for concurrent use.
 type deploymentState struct {
@@ -57,9 +61,11 @@
 
 	mu                    sync.Mutex // held by refresh; guards the fields below
 	seenChanges           [4]uint64
-	configurationReadable bool // the latest row of the configuration could be decoded
+	lostEvacuations       map[string]bool // failure domains that are out of service although the store has lost that
+	configurationReadable bool            // the latest row of the configuration could be decoded
 	outages               outage.Watch
-	lapseEnd              time.Time // time until which servers whose rows have expired stay in use
+	lapseEnd              time.Time                    // time until which servers whose rows have expired stay in use
+	lostUntil             map[*replica.Table]time.Time // end of the time for which lost rows of a table count
 	servers               *registration.Book
 	decodedRows           map[string]decodedRow // rows of the registry by key
 	completed             map[string]uint64     // order of the latest completed roll-out by service
@@ -77,18 +83,19 @@
 // isOf reports whether the decoded row is that of r. The latest value of a row may be
 // received from a sibling later than its version.
 func (d decodedRow) isOf(r replica.Row) bool {
-	return d.stored.Version == r.Version && d.stored.LatestRemoved == r.LatestRemoved && bytes.Equal(d.stored.Latest, r.Latest)
+	return d.stored.Era == r.Era && d.stored.Version == r.Version && d.stored.LatestRemoved == r.LatestRemoved && bytes.Equal(d.stored.Latest, r.Latest)
 }
 
 func newDeploymentState(self fleet.VM, logger log.Logger) *deploymentState {
 	d := &deploymentState{
 		self:      self,
 		log:       log.With(logger, "part", "world"),
-		operator:  replica.New(platform.TableOperator, nil),
+		operator:  replica.NewOrdered(platform.TableOperator, nil, olderConfiguration),
 		registry:  replica.NewOrdered(platform.TableServers, sameServer, olderRegistration),
 		members:   replica.New(platform.TableVMs, nil),
 		status:    replica.New(platform.TableStatus, nil),
 		fleet:     fleet.NewServerTable(),
+		lostUntil: map[*replica.Table]time.Time{},
 		completed: map[string]uint64{}, reportedVersions: map[string]uint64{},
 	}
 	d.servers = registration.NewBook(func() time.Duration { return time.Duration(d.heartbeatInterval.Load()) })
@@ -110,7 +117,7 @@
 
 // olderRegistration reports whether a backend server wrote row value a before b. It is a
 // replica.OlderFunc.
-func olderRegistration(a, b []byte) bool {
+func olderRegistration(_ string, a, b []byte) bool {
 	x, err := platform.DecodeServer("ordered", a)
 	if err != nil {
 		return true
@@ -119,6 +126,20 @@
 	return err == nil && registration.Older(x, y)
 }
 
+// olderConfiguration reports whether operators wrote configuration a before b. Their other rows have no
+// order. It is a replica.OlderFunc.
+func olderConfiguration(key string, a, b []byte) bool {
+	if key != platform.KeyConfiguration {
+		return false
+	}
+	x, err := platform.ConfigurationVersion(a)
+	if err != nil {
+		return true
+	}
+	y, err := platform.ConfigurationVersion(b)
+	return err == nil && (x < y || x == y && bytes.Equal(a, b))
+}
+
 func (d *deploymentState) tables() []*replica.Table {
 	return []*replica.Table{d.operator, d.registry, d.members, d.status}
 }
@@ -153,6 +174,8 @@
 func (d *deploymentState) refresh(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.removeLost(now, d.registry, lapseGracePeriod)
+	d.removeLost(now, d.members, lostVMTimeout)
 	provenAsOf := d.operator.ProvenAsOf() // before the rows are read, so that they are as new
 	for i, t := range d.tables() {
 		_, _, changed := t.State()
@@ -184,6 +207,22 @@
 	}
 }
 
+// removeLost removes rows of a table that the store has lost, once their writers have had time to write
+// them again.
+func (d *deploymentState) removeLost(now time.Time, t *replica.Table, timeout time.Duration) {
+	until, found := d.lostUntil[t]
+	switch {
+	case !found && t.HasLost():
+		d.lostUntil[t] = now.Add(timeout)
+		_ = level.Warn(d.log).Log("msg", "store came back from a copy without some rows; they count for now", "table", t.Name(), "for_ms", timeout.Milliseconds())
+	case found && !now.Before(until):
+		delete(d.lostUntil, t)
+		for _, r := range t.RemoveLost() {
+			_ = level.Info(d.log).Log("msg", "lost row was not written again", "table", t.Name(), "key", r.Key)
+		}
+	}
+}
+
 // updateLapseEnd determines for how long servers whose rows have expired stay in use.
 func (d *deploymentState) updateLapseEnd() {
 	h := d.registry.History()
@@ -220,10 +259,13 @@
 // refreshOperator decodes the rows that operators wrote. It returns false if the configuration
 // cannot be read, in which case the former one stays in force.
 func (d *deploymentState) refreshOperator() bool {
-	evacuated := map[string]bool{}
+	evacuated, lost := map[string]bool{}, map[string]bool{}
 	for _, row := range d.operator.Rows() {
-		if domain, ok := platform.EvacuatedDomain(row.Key); ok {
+		if domain, ok := platform.EvacuatedDomain(row.Key); ok && !row.LatestRemoved {
 			evacuated[domain] = true
+			if row.Lost {
+				lost[domain] = true
+			}
 		}
 	}
 	previous := *d.evacuated.Load()
@@ -232,6 +274,12 @@
 			_ = level.Info(d.log).Log("msg", "failure domain taken out of service", "failure_domain", domain)
 		}
 	}
+	for domain := range lost {
+		if !d.lostEvacuations[domain] {
+			_ = level.Warn(d.log).Log("msg", "store came back from a copy without this evacuation; it stays in force until operators write or remove it", "failure_domain", domain)
+		}
+	}
+	d.lostEvacuations = lost
 	for domain := range previous {
 		if !evacuated[domain] {
 			_ = level.Info(d.log).Log("msg", "failure domain returned to service", "failure_domain", domain)
@@ -244,11 +292,23 @@
 	}
 	c, err := platform.DecodeConfiguration(row.Value)
 	if err != nil {
-		_ = level.Error(d.log).Log("msg", "unreadable configuration ignored", "row_version", row.Version, "err", err)
-		return false
+		_ = level.Error(d.log).Log("msg", "unreadable configuration ignored", "row_version", row.Version, "era", row.Era, "err", err)
+	} else {
+		d.useConfiguration(c, row)
 	}
+	if row.Latest != nil {
+		// The store came back from a copy with an older configuration, or has an unreadable one.
+		if latest, err := platform.DecodeConfiguration(row.Latest); err == nil {
+			d.useConfiguration(latest, row)
+		}
+	}
+	return err == nil
+}
+
+// useConfiguration puts a configuration into force unless it is older than the present one.
+func (d *deploymentState) useConfiguration(c *routing.Configuration, row replica.Row) {
 	if current := d.routes.Load(); current != nil && current.Version() >= c.Version {
-		return true
+		return
 	}
 	d.routes.Store(routing.NewTable(c))
 	teams, keys := 0, 0
@@ -256,8 +316,7 @@
 		teams, keys = c.Teams.Len(), c.Teams.KeyCount()
 	}
 	_ = level.Info(d.log).Log("msg", "configuration in force", "version", c.Version, "row_version", row.Version,
-		"routes", len(c.Routes), "services", len(c.Services), "teams", teams, "keys", keys)
-	return true
+		"era", row.Era, "lost", row.Lost, "routes", len(c.Routes), "services", len(c.Services), "teams", teams, "keys", keys)
 }
 
 func (d *deploymentState) refreshServers(now time.Time) {
--- a/internal/replica/order_test.go
+++ b/internal/replica/order_test.go
@@ -27,7 +27,7 @@
 		_, y, _ := strings.Cut(string(b), " ")
 		return x == y
 	}
-	return replica.NewOrdered("t", sameState, func(a, b []byte) bool {
+	return replica.NewOrdered("t", sameState, func(_ string, a, b []byte) bool {
 		return sequence(a) < 0 || sequence(a) <= sequence(b)
 	})
 }
@@ -132,7 +132,7 @@
 
 // Guards against rows without a sequence of which an older version counts as the latest.
 func TestUnorderedRowsFollowTheStore(t *testing.T) {
-	unordered := func([]byte, []byte) bool { return false }
+	unordered := func(string, []byte, []byte) bool { return false }
 	sibling, own := replica.NewOrdered("t", nil, unordered), replica.NewOrdered("t", nil, unordered)
 	sibling.Apply(replica.Changes{Full: true, Version: 5, Rows: []replica.Row{row("x", "ready", 5)}}, epoch)
 	own.Apply(replica.Changes{Full: true, Version: 9, Rows: []replica.Row{row("x", "leaving", 9)}}, epoch)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,6 +36,9 @@
 	Latest []byte
 	// LatestRemoved is true if the row was removed after Latest was written.
 	LatestRemoved bool
+	// Lost is true if the store came back from a copy without the row and has not said anything of it
+	// since. Table sets it in what it returns.
+	Lost bool
 }
 
 // Changes holds the rows of a table that changed after BaseVersion of the store,
@@ -54,9 +57,9 @@
 // EqualFunc reports whether two values of a row are equivalent for its readers.
 type EqualFunc func(a, b []byte) bool
 
-// OlderFunc reports whether the writer of a row wrote value a before value b, or wrote a again. It
-// returns true if a cannot be read.
-type OlderFunc func(a, b []byte) bool
+// OlderFunc reports whether the writer of the row with the given key wrote value a before value b, or
+// wrote a again. It returns true if a cannot be read.
+type OlderFunc func(key string, a, b []byte) bool
 
 // Table is a copy of one table. It is safe for concurrent use.
 type Table struct {
@@ -75,12 +78,20 @@
 	tombstoneFloor uint64               // removals of this era up to this version may have no tombstone: it was dropped, or they came before the first read
 	tombstoneCount int
 	changeCount    uint64 // number of changes so far, without changes to equivalent values
+
+	hasRestored     bool   // the store has come back from a copy since the first read
+	enteredVersion  uint64 // first version of this era that was read, if hasRestored is true
+	unresolved      bool   // see Unresolved
+	unresolvedAfter uint64 // see Unresolved
+	past            []pastVersion
+	unstored        uint64 // see UnstoredRevision
 }
 
 // entry is a row, or the tombstone of a removed row.
 type entry struct {
 	Row
 	changedVersion uint64 // version of the latest change to a value that is not equivalent, in the era of the row
+	removed        *Row   // the row that a tombstone stands for, if it was there before
 }
 
 // New returns an empty copy of the table with the given name. If equal is nil, values are
@@ -148,7 +159,7 @@
 	if c.Era == 0 {
 		c.Era = t.era
 	}
-	return t.apply(c, outage.History{AsOf: asOf, Since: asOf})
+	return t.apply(c, outage.History{AsOf: asOf, Since: asOf}, true)
 }
 
 // ApplyCopy is Apply for changes from the copy of a sibling with the given history. If the era of
@@ -157,12 +168,16 @@
 func (t *Table) ApplyCopy(c Changes, h outage.History) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.apply(c, h)
+	return t.apply(c, h, false)
 }
 
-// apply merges changes. The caller must hold mu.
-func (t *Table) apply(c Changes, h outage.History) bool {
+// apply merges changes. ownRead is true if this process has read them. The caller must hold mu.
+func (t *Table) apply(c Changes, h outage.History, ownRead bool) bool {
 	c.Rows = rowsOfEra(c.Rows, c.Era)
+	if !c.Full && c.Version == 0 {
+		t.learn(c)
+		return true
+	}
 	if !c.Full && c.Era >= t.era && (t.version == 0 || c.Era > t.era || c.BaseVersion > t.version) {
 		return false
 	}
@@ -172,34 +187,44 @@
 	case c.Era > t.era:
 		t.enterEra(c)
 	}
+	if ownRead && !c.Full && !c.Partial && c.Era == t.era && c.BaseVersion <= t.unresolvedAfter {
+		t.unresolved = false
+	}
 	if c.Era < t.era || c.Version < t.version {
 		// The copy is already newer.
-		for _, r := range c.Rows {
-			t.learnLatest(r)
-		}
+		t.learn(c)
 		return true
 	}
 	if c.Full {
+		if t.version > 0 && t.version < c.Version && !t.unresolved {
+			// Lost rows may have been written and removed again in between.
+			t.unresolved, t.unresolvedAfter = true, t.version
+		}
 		t.replace(c)
 	} else {
 		for _, r := range c.Rows {
+			if ownRead && r.Removed && r.Version <= t.enteredVersion {
+				t.resolveRemoval(r)
+				continue
+			}
 			t.merge(r)
 		}
 	}
 	t.version = c.Version
 	t.history = t.history.Join(h, t.failedAt)
+	t.rememberVersion()
 	return true
 }
 
-// replace removes the rows that are not in c and merges the rows of c. The caller
-// must hold mu.
+// replace removes the rows that are not in c and merges the rows of c. Rows of an earlier era that are
+// not in c are lost, see Row. The caller must hold mu.
 func (t *Table) replace(c Changes) {
 	present := make(map[string]bool, len(c.Rows))
 	for _, r := range c.Rows {
-		present[r.Key] = true
+		present[r.Key] = r.Era == c.Era // others are lost at the sender
 	}
 	for key, e := range t.rows {
-		if !e.Removed && !present[key] && e.position().Compare(Position{c.Era, c.Version}) <= 0 {
+		if !e.Removed && !present[key] && e.Era == c.Era && e.Version <= c.Version {
 			t.merge(Row{Key: key, Era: c.Era, Version: c.Version, Removed: true})
 		}
 	}
@@ -216,13 +241,16 @@
 // hold mu.
 func (t *Table) merge(r Row) {
 	old, ok := t.rows[r.Key]
-	if ok && r.position().Compare(old.position()) <= 0 {
+	if ok && !old.isBefore(r) {
 		t.learnLatest(r)
 		return
 	}
 	e := entry{Row: r, changedVersion: r.Version}
 	wasPresent := ok && !old.Removed
-	if t.older != nil {
+	switch {
+	case t.older != nil && old.removedBefore(e.Row):
+		e.Latest, e.LatestRemoved = e.Value, true
+	case t.older != nil:
 		t.keepLatest(old.Row, &e.Row)
 	}
 	switch {
@@ -237,9 +265,19 @@
 		t.tombstoneCount--
 	}
 	if r.Removed {
+		e.removed = old.removed
+		if wasPresent {
+			e.removed = &old.Row
+		}
 		e.Value = nil
 		t.tombstoneCount++
 	}
+	if r.Era < t.era {
+		t.hasRestored = true
+	}
+	if r.Era < t.era || ok && old.Era < t.era {
+		t.unstored++
+	}
 	t.rows[r.Key] = e
 	if t.tombstoneCount > maxTombstones {
 		t.dropTombstones()
@@ -262,12 +300,12 @@
 func (t *Table) keepLatest(old Row, r *Row) {
 	latest, removed := old.latest()
 	if r.Latest != nil { // a sibling has seen a later value than that in r
-		latest, removed = t.later(latest, removed, r.Latest, r.LatestRemoved)
+		latest, removed = t.later(r.Key, latest, removed, r.Latest, r.LatestRemoved)
 	}
 	switch {
 	case r.Removed:
 		r.Latest, r.LatestRemoved = latest, true
-	case latest == nil || !t.older(r.Value, latest) || !removed && bytes.Equal(r.Value, latest):
+	case latest == nil || !t.older(r.Key, r.Value, latest) || !removed && bytes.Equal(r.Value, latest):
 		r.Latest, r.LatestRemoved = nil, false
 	default:
 		r.Latest, r.LatestRemoved = latest, removed
@@ -278,16 +316,20 @@
 // this copy has: this process may have read the table after its start and have seen nothing before. A
 // row that this copy lacks was removed since. The caller must hold mu.
 func (t *Table) learnLatest(r Row) {
+	old, ok := t.rows[r.Key]
+	if ok && old.Removed && !r.Removed && r.Era < t.era {
+		t.hasRestored = true // the sibling takes a row for lost whose removal this copy has
+		t.unstored++
+	}
 	if t.older == nil {
 		return
 	}
-	old, ok := t.rows[r.Key]
-	if !ok && r.Era < t.era {
-		return // the store may have lost the row without its removal
+	if !ok && r.Era != t.era {
+		return // that this copy has no such row does not mean that it was removed
 	}
-	if ok && r.position().Compare(old.position()) > 0 {
+	if ok && r.Era == t.era && r.position().Compare(old.position()) > 0 {
 		// What this copy has is equivalent to a newer version, unless the writer has written r later.
-		if !r.Removed && !t.older(r.Value, old.Value) {
+		if !r.Removed && !t.older(r.Key, r.Value, old.Value) {
 			t.merge(r)
 		}
 		return
@@ -297,7 +339,10 @@
 	}
 	latest, removed := old.latest()
 	seen, seenRemoved := r.latest()
-	learned, learnedRemoved := t.later(latest, removed, seen, seenRemoved)
+	learned, learnedRemoved := t.later(r.Key, latest, removed, seen, seenRemoved)
+	if r.position() == old.position() && r.LatestRemoved && bytes.Equal(r.Latest, old.Value) {
+		learned, learnedRemoved = r.Latest, true
+	}
 	learnedRemoved = learnedRemoved || old.Removed
 	if learned == nil || learnedRemoved == removed && bytes.Equal(learned, latest) {
 		return
@@ -308,19 +353,20 @@
 	}
 	t.rows[r.Key] = old
 	t.changeCount++
+	t.unstored++
 }
 
 // later returns the later one of two values of a row, each nil if there is none, and whether the row was
 // removed since. It returns a if their order is not known.
-func (t *Table) later(a []byte, aRemoved bool, b []byte, bRemoved bool) (value []byte, removed bool) {
+func (t *Table) later(key string, a []byte, aRemoved bool, b []byte, bRemoved bool) (value []byte, removed bool) {
 	switch {
 	case b == nil:
 		return a, aRemoved
 	case a == nil:
 		return b, bRemoved
-	case !t.older(a, b):
+	case !t.older(key, a, b):
 		return a, aRemoved
-	case t.older(b, a): // the same one
+	case t.older(key, b, a): // the same one
 		return a, aRemoved || bRemoved
 	default:
 		return b, bRemoved
@@ -429,26 +475,13 @@
 	return c
 }
 
-// Superseded returns the rows that do not have their latest values, including those that were removed
-// last. A process that has read the table after its start has not seen these values.
-func (t *Table) Superseded() []Row {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Row
-	for _, e := range t.rows {
-		if e.Latest != nil && !e.Removed {
-			out = append(out, e.Row)
-		}
-	}
-	return append(out, t.lastRemoved()...)
-}
-
-// lastRemoved returns the rows that were removed last and whose latest values are known, at most
-// maxSentTombstones. The caller must hold mu.
+// lastRemoved returns the rows that were removed last, at most maxSentTombstones. Unless the store has
+// come back from a copy, only those are of use to a sibling whose latest values are known. The caller
+// must hold mu.
 func (t *Table) lastRemoved() []Row {
 	var removed []Row
 	for _, e := range t.rows {
-		if e.Removed && e.Latest != nil {
+		if e.Removed && (e.Latest != nil || t.hasRestored) {
 			removed = append(removed, e.Row)
 		}
 	}
@@ -463,7 +496,7 @@
 	out := make([]Row, 0, len(t.rows))
 	for _, e := range t.rows {
 		if !e.Removed {
-			out = append(out, e.Row)
+			out = append(out, t.external(e))
 		}
 	}
 	return out
@@ -475,5 +508,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.rows[key]
-	return e.Row, ok && !e.Removed
+	return t.external(e), ok && !e.Removed
+}
+
+// external returns the row of an entry as it is returned to callers. The caller must hold mu.
+func (t *Table) external(e entry) Row {
+	r := e.Row
+	r.Lost = r.Era < t.era
+	return r
 }
--- a/internal/statesync/codec.go
+++ b/internal/statesync/codec.go
@@ -78,6 +78,9 @@
 		UnbrokenMs: clamp(int(h.Unbroken().Milliseconds())), AfterOutage: h.AfterOutage, Era: (*uint64)(&c.Era),
 	}
 	for _, r := range c.Rows {
+		if r.Era == 0 && c.Era != 0 {
+			continue // from before the store stated eras; 0 stands for that of the table
+		}
 		row := &siblingpb.StoreRow{
 			Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed, Latest: r.Latest, LatestRemoved: r.LatestRemoved,
 		}
--- a/internal/statesync/message.go
+++ b/internal/statesync/message.go
@@ -219,9 +219,7 @@
 }
 
 // addTables adds the table rows that the other VM does not have. With a refresh it
-// also adds the present version and time of unchanged tables. The first message also has the rows whose
-// latest values the store has replaced by older ones: the other VM may have read the table after its
-// start.
+// also adds the present version and time of unchanged tables.
 func (p *peer) addTables(now time.Time, m *siblingpb.News, refreshDue bool) {
 	if !p.sameRegion {
 		p.addReadTables(now, m)
@@ -240,24 +238,20 @@
 		order := own.Compare(known)
 		proof := p.proof(t, m)
 		newer := asOf.After(peerState.asOf) || p.improvesProof(t.Name(), proof)
-		var superseded []replica.Row
-		if !p.sentTables[t.Name()] && known.Version != 0 {
-			superseded = t.Superseded()
-		}
-		p.sentTables[t.Name()] = true
-		if len(superseded) == 0 && (order < 0 || order == 0 && (!refreshDue || !newer)) {
+		unstored := p.unstored(t, known)
+		if len(unstored) == 0 && (order < 0 || order == 0 && (!refreshDue || !newer)) {
 			continue
 		}
-		var c replica.Changes
-		if order <= 0 {
-			c = replica.Changes{Era: own.Era, BaseVersion: own.Version, Version: own.Version}
-		} else if c = t.Since(known); len(c.Rows) == 0 && !c.Full && !refreshDue && len(superseded) == 0 {
-			continue // only equivalent values changed; the next refresh sends the version
+		c := replica.Changes{Era: own.Era, BaseVersion: own.Version, Version: own.Version}
+		if order > 0 {
+			if c = t.Since(known); len(c.Rows) == 0 && !c.Full && !refreshDue && len(unstored) == 0 {
+				continue // only equivalent values changed; the next refresh sends the version
+			}
 		}
 		if order >= 0 {
 			p.recordSent(t.Name(), c, asOf)
 		}
-		c.Rows = append(c.Rows, superseded...)
+		c.Rows = append(c.Rows, unstored...)
 		changes := p.encodeTable(now, t.Name(), c, history)
 		p.addProof(changes, proof)
 		m.Tables = append(m.Tables, changes)
@@ -284,12 +278,28 @@
 	return m
 }
 
+// unstored returns what the other VM cannot learn from the store, since it may have read the table
+// itself: for the first message, and when that has changed after the store came back from a copy.
+func (p *peer) unstored(t *replica.Table, known replica.Position) []replica.Row {
+	revision := t.UnstoredRevision()
+	if sent, ok := p.sentUnstored[t.Name()]; ok && sent == revision {
+		return nil
+	}
+	p.sentUnstored[t.Name()] = revision
+	if known.Version == 0 {
+		return nil // the other VM is sent the whole table, which has these rows
+	}
+	return t.Unstored()
+}
+
 // addReadTables adds, for the relay of another region, the tables that this VM has read from
 // the store itself since the latest message, also if nothing has changed: a copy that is up to
 // date keeps the other region from reading the store. Copies from siblings are not sent. They
 // could go round between the regions, and each hop makes a copy seem younger by the time on
-// the way.
+// the way. Once the store has come back from a copy, both ends send what it has lost, which does not say
+// how old a copy is.
 func (p *peer) addReadTables(now time.Time, m *siblingpb.News) {
+	p.addUnstored(now, m)
 	if !p.peerSubscribed || !p.syncer.IsRegionRelay(now) {
 		return
 	}
@@ -311,6 +321,23 @@
 	}
 }
 
+func (p *peer) addUnstored(now time.Time, m *siblingpb.News) {
+	for _, t := range p.syncer.cfg.Tables {
+		if t.UnstoredRevision() == 0 {
+			continue
+		}
+		p.mu.Lock()
+		known := p.knownTables[t.Name()].position
+		p.mu.Unlock()
+		if known.Version == 0 {
+			continue // not known to have a copy to which the rows can be added
+		}
+		if rows := p.unstored(t, known); len(rows) > 0 {
+			m.Tables = append(m.Tables, encodeTable(now, t.Name(), replica.Changes{Era: t.Position().Era, Rows: rows}, outage.History{}))
+		}
+	}
+}
+
 // addLiveness adds when other VMs were last known to be alive. A relay of another
 // failure domain is sent the VMs of this one, a VM of the same domain all VMs.
 func (p *peer) addLiveness(now time.Time, m *siblingpb.News) {
--- a/internal/statesync/peer.go
+++ b/internal/statesync/peer.go
@@ -71,7 +71,7 @@
 	serverNumbers    map[string]numberedServer // latest numbers that stand for servers on this stream, by server ID
 	lastServerNumber uint32
 	counts           sentCounts
-	sentTables       map[string]bool                 // tables of which a message was composed, by name
+	sentUnstored     map[string]uint64               // replica.Table.UnstoredRevision that was sent, by table name
 	statedHistories  map[string]outage.History       // latest histories that were stated, by table name
 	sentProofs       map[string]suspendclock.Instant // latest proofs sent, by table name
 
@@ -119,7 +119,7 @@
 		sameRegion: v.Region == syncer.cfg.Self.Region, inFlightKey: otherDomainPrefix + v.ID, wake: make(chan struct{}, 1),
 		done: make(chan struct{}), knownTables: map[string]tableState{}, sentReadings: map[string]fleet.Reading{},
 		sentInFlight: map[string]int{}, serverNumbers: map[string]numberedServer{}, serversByNumber: map[uint32]serverProcess{},
-		sentTables: map[string]bool{}, statedHistories: map[string]outage.History{}, sentProofs: map[string]suspendclock.Instant{}, counts: newSentCounts(), subjectsByNumber: map[uint32]counts.Subject{},
+		sentUnstored: map[string]uint64{}, statedHistories: map[string]outage.History{}, sentProofs: map[string]suspendclock.Instant{}, counts: newSentCounts(), subjectsByNumber: map[uint32]counts.Subject{},
 	}
 	if p.sameDomain {
 		p.inFlightKey = sameDomainPrefix + v.ID
@@ -239,6 +239,10 @@
 			continue
 		}
 		c, history := decodeTable(now, m)
+		if c.Version == 0 && !c.Full {
+			t.ApplyCopy(c, history) // rows without a statement about the copy
+			continue
+		}
 		if !t.ApplyCopy(c, history) {
 			// The peer assumed that this VM's copy has a later version than it has.
 			p.mu.Lock()
--- a/internal/statesync/process_test.go
+++ b/internal/statesync/process_test.go
@@ -13,7 +13,7 @@
 // Guards against a relay that has just started, has read a late write, and does not learn the latest value
 // from a VM that subscribes to it, whatever versions both have.
 func TestStartedRelayLearnsFromSubscribers(t *testing.T) {
-	older := func(a, b []byte) bool { return string(a) <= string(b) }
+	older := func(_ string, a, b []byte) bool { return string(a) <= string(b) }
 	for _, c := range []struct {
 		name     string
 		versions []uint64 // of the subscriber's reads of "6" and of the late "4"
