entry: a VM writes its row again in each era of the store

Callers saw nothing. A VM that starts after the store came back from a copy without the rows of the others takes all of a limit for itself, until these have written their rows again after 5 s or more; and a row of the process before was never corrected.

Cause: a VM checked its row 5 s after its latest write, in a copy that may be as old, and by name only.

Change: it writes the row once in each era that it learns of, after a random time of up to 1 s, so that many VMs do not write at the same moment. A row of another process of the VM counts as missing.

--- a/internal/entry/register.go
+++ b/internal/entry/register.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"goldcresthinge.example/goldcresthinge/internal/fleet"
+	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/platform"
 )
 
@@ -18,9 +19,14 @@
 	// registerRetryPause is the least pause after a write that was not
 	// confirmed. A random time of up to the same length is added.
 	registerRetryPause = 500 * time.Millisecond
-	// registrationCheckInterval is the time between two checks that the row
-	// of this VM still exists, and between two removals of silent VMs.
+	// registrationCheckInterval is the time between two removals of silent VMs, and the least time
+	// between two writes of the row of this VM in one era of the store. The copy has the row by then.
 	registrationCheckInterval = 5 * time.Second
+	// rowCheckInterval is the time between two checks that the store has the row of this VM.
+	rowCheckInterval = 250 * time.Millisecond
+	// maxRewriteDelay is the longest time until this VM writes its row again that the store has lost. All
+	// VMs may have to do so at once.
+	maxRewriteDelay = time.Second
 	// maxSilence is how long a VM is not known to be alive (see
 	// statesync.Liveness) before its row is removed. It is longer than the pauses
 	// and network partitions of normal operation. A VM that comes back later writes its row again.
@@ -28,13 +34,14 @@
 )
 
 // register writes the row of this VM until the store has confirmed it, and
-// again if another VM has removed it during a long absence of this VM. It runs
-// until ctx ends.
+// again if another VM has removed it during a long absence of this VM or the store has
+// lost it. It runs until ctx ends.
 func (e *Entry) register(ctx context.Context) error {
 	value, err := platform.EncodeVM(e.self)
 	if err != nil {
 		return err
 	}
+	var w rowWrites
 	pause := time.Duration(0)
 	for {
 		select {
@@ -42,8 +49,9 @@
 			return nil
 		case <-time.After(pause):
 		}
-		if e.registered.Load() && e.listed() {
-			pause = registrationCheckInterval
+		now := time.Now()
+		if e.registered.Load() && !w.due(now, e.storeEra(), e.listed(), rand.Float64()) { //nolint:gosec // no secret
+			pause = rowCheckInterval
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -55,17 +63,61 @@
 			continue
 		}
 		e.registered.Store(true)
-		_ = level.Info(e.log).Log("msg", "registered", "address", e.self.Address)
-		pause = registrationCheckInterval
+		w.confirmed(time.Now(), e.store.Era())
+		_ = level.Info(e.log).Log("msg", "registered", "address", e.self.Address, "era", e.store.Era())
+		pause = rowCheckInterval
 	}
 }
 
-// listed reports whether the copy of the table of VMs has the row of this VM.
+// listed reports whether the copy of the table of VMs has the row of this process.
 // It returns true if there is no copy yet.
 func (e *Entry) listed() bool {
-	_, ok := e.state.members.Get(e.self.ID)
-	version, _, _ := e.state.members.State()
-	return ok || version == 0
+	if e.state.members.Position().Version == 0 {
+		return true
+	}
+	row, ok := e.state.members.Get(e.self.ID)
+	if !ok || row.Lost {
+		return false
+	}
+	v, err := platform.DecodeVM(row.Key, row.Value)
+	return err == nil && v.Incarnation == e.self.Incarnation
+}
+
+// storeEra returns the latest era of the store that this VM knows of, from its own calls or from siblings.
+func (e *Entry) storeEra() replica.Era {
+	era := e.store.Era()
+	for _, t := range e.state.tables() {
+		era = max(era, t.Position().Era)
+	}
+	return era
+}
+
+// rowWrites decides when the row of this VM is written again. The zero value is ready for use.
+type rowWrites struct {
+	at    time.Time   // time of the latest confirmed write
+	era   replica.Era // era of the store in which it was confirmed
+	dueAt time.Time   // time of the next write; zero: none is due
+}
+
+// confirmed records that the store has confirmed a write in an era.
+func (w *rowWrites) confirmed(now time.Time, era replica.Era) { *w = rowWrites{at: now, era: era} }
+
+// due reports whether the row has to be written. era is the latest known one; a store that came back from
+// a copy may have lost the row. listed is true if the copy of the table has it. jitter is in [0, 1) and
+// spreads the writes of many VMs.
+func (w *rowWrites) due(now time.Time, era replica.Era, listed bool, jitter float64) bool {
+	restored := era > w.era
+	if !restored && (listed || now.Sub(w.at) < registrationCheckInterval) {
+		w.dueAt = time.Time{}
+		return false
+	}
+	if w.dueAt.IsZero() {
+		w.dueAt = now
+		if restored {
+			w.dueAt = now.Add(time.Duration(jitter * float64(maxRewriteDelay)))
+		}
+	}
+	return !now.Before(w.dueAt)
 }
 
 // removeSilentVMs removes the rows of VMs of this region that have been
--- a/internal/entry/restored_test.go
+++ b/internal/entry/restored_test.go
@@ -121,3 +121,18 @@
 		d.eventually("a new key works", func() bool { return d.callWithKey(n, "/keyed/x", "k3") == 200 })
 	}
 }
+
+// Guards against VMs that the store does not know any longer, because it came back from a copy without
+// their rows, and against one that is known by the row of its process before.
+func TestVMsRegisterAgainWhenTheStoreLostTheirRows(t *testing.T) {
+	d := newDeployment(t)
+	saved := d.store.Copy()
+	d.start("b")
+	vm := fmt.Sprintf("vm-%d", len(d.vms)-1)
+	d.eventually("the VM is registered", func() bool { return d.store.Get(platform.TableVMs, vm) != nil })
+	d.restore(saved)
+	if d.store.Get(platform.TableVMs, vm) != nil {
+		t.Fatal("the copy has the row of the VM")
+	}
+	d.eventually("the VM is registered again", func() bool { return d.store.Get(platform.TableVMs, vm) != nil })
+}
