entry: a started VM hears from a sibling before it serves keys

Callers whose key was taken away are served by a VM that starts after the store came back from a copy from before, until the first message of a sibling.

Cause: its own read proves that it has what the store has, and not what the store has lost.

Change: the age of the configuration of a started VM is unknown until it has heard from a VM of its region, for at most 1 s; requests with keys are refused as not run meanwhile, and a VM with teams is not ready. The first start of the whole system does not wait.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,9 @@
 	adminReadHeaderTimeout = 2 * time.Second
 	// maxAdminHeaderBytes is the largest request header at these addresses.
 	maxAdminHeaderBytes = 16 << 10
+	// maxSiblingWait is how long a VM that has started waits for what its siblings know, from its first
+	// read of the table of VMs. It subscribes to a sibling well within that time.
+	maxSiblingWait = time.Second
 	// revocationMarginDivisor divides the time within which a removed key has to stop working; the
 	// quotient is the time left for the way of a request to its server.
 	revocationMarginDivisor = 10
@@ -209,6 +212,7 @@
 		log:             log.With(logger, "part", "measure"), probed: map[string]*probedServer{}, probeDone: make(chan struct{}, 1),
 	}
 	e.state.fleet.NotifyBusy(e.prober.serverBecameBusy)
+	e.state.siblingsAsked = e.siblingsAsked
 	e.buildReaders(logger)
 	e.usage = e.newUsageLimiter(time.Now())
 	e.buildServers(source, logger)
@@ -293,6 +297,12 @@
 	return l
 }
 
+// siblingsAsked reports whether this VM has heard from a sibling, or could have. The store may have come back
+// from a copy that lacks what operators wrote last, unless the whole system starts for the first time.
+func (e *Entry) siblingsAsked() bool {
+	return e.node.Load().Bootstrap || e.syncer.HasHeard() || e.state.vmsKnownFor(maxSiblingWait)
+}
+
 // stateChanged decodes changed tables if tablesChanged is set, and tries again
 // to place the waiting requests.
 func (e *Entry) stateChanged(tablesChanged bool) {
--- a/internal/entry/restored_test.go
+++ b/internal/entry/restored_test.go
@@ -106,14 +106,15 @@
 		own.SetFaults(platformtest.StoreFaults{})
 		d.start("a")
 		for i, n := range d.vms {
-			d.eventually("the other key works", func() bool { return d.callWithKey(n, "/keyed/x", "k1") == 200 })
-			if i < 3 {
-				if status := d.callWithKey(n, "/keyed/x", "k2"); status == 200 {
+			// VMs that have just started learn of it from the others.
+			d.eventually("the VM knows that the key is revoked", func() bool {
+				status := d.callWithKey(n, "/keyed/x", "k2")
+				if status == 200 {
 					t.Errorf("vm-%d serves a request with the revoked key", i)
 				}
-				continue
-			}
-			d.eventually("a VM that has started refuses the revoked key", func() bool { return d.callWithKey(n, "/keyed/x", "k2") == 401 })
+				return status == 401
+			})
+			d.eventually("the other key works", func() bool { return d.callWithKey(n, "/keyed/x", "k1") == 200 })
 		}
 	}
 	d.configureTeams(3, "k1", "k3")
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -32,13 +32,16 @@
 // deploymentState is what this VM knows of the deployment, decoded from its
 // copies of the store's tables. Its methods are safe for concurrent use.
 type deploymentState struct {
-	self     fleet.VM
-	log      log.Logger
-	operator *replica.Table
-	registry *replica.Table
-	members  *replica.Table
-	status   *replica.Table // read while there is a roll-out
-	fleet    *fleet.ServerTable
+	self fleet.VM
+	log  log.Logger
+	// siblingsAsked reports whether this VM has what its siblings know of the operators' rows and the
+	// store may have lost. Set before the first request.
+	siblingsAsked func() bool
+	operator      *replica.Table
+	registry      *replica.Table
+	members       *replica.Table
+	status        *replica.Table // read while there is a roll-out
+	fleet         *fleet.ServerTable
 
 	routes    atomic.Pointer[routing.Table]
 	evacuated atomic.Pointer[map[string]bool]
@@ -88,15 +91,16 @@
 
 func newDeploymentState(self fleet.VM, logger log.Logger) *deploymentState {
 	d := &deploymentState{
-		self:      self,
-		log:       log.With(logger, "part", "world"),
-		operator:  replica.NewOrdered(platform.TableOperator, nil, olderConfiguration),
-		registry:  replica.NewOrdered(platform.TableServers, sameServer, olderRegistration),
-		members:   replica.New(platform.TableVMs, nil),
-		status:    replica.New(platform.TableStatus, nil),
-		fleet:     fleet.NewServerTable(),
-		lostUntil: map[*replica.Table]time.Time{},
-		completed: map[string]uint64{}, reportedVersions: map[string]uint64{},
+		self:          self,
+		log:           log.With(logger, "part", "world"),
+		operator:      replica.NewOrdered(platform.TableOperator, nil, olderConfiguration),
+		registry:      replica.NewOrdered(platform.TableServers, sameServer, olderRegistration),
+		members:       replica.New(platform.TableVMs, nil),
+		status:        replica.New(platform.TableStatus, nil),
+		fleet:         fleet.NewServerTable(),
+		lostUntil:     map[*replica.Table]time.Time{},
+		siblingsAsked: func() bool { return true },
+		completed:     map[string]uint64{}, reportedVersions: map[string]uint64{},
 	}
 	d.servers = registration.NewBook(func() time.Duration { return time.Duration(d.heartbeatInterval.Load()) })
 	d.replaced.Store(&map[string]uint64{})
@@ -250,7 +254,7 @@
 // afterwards.
 func (d *deploymentState) configurationAge() time.Duration {
 	asOf := suspendclock.Instant(d.configurationAsOf.Load())
-	if asOf == 0 {
+	if asOf == 0 || !d.siblingsAsked() {
 		return math.MaxInt64
 	}
 	return suspendclock.Now().Sub(asOf)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -40,6 +40,8 @@
 		return false, "draining"
 	case e.state.routes.Load() == nil:
 		return false, "no configuration yet"
+	case e.state.hasTeams() && !e.state.siblingsAsked():
+		return false, "keys are not confirmed by a sibling yet"
 	case len(e.state.fleet.Servers()) == 0:
 		return false, "no backend server known"
 	}
--- a/internal/statesync/peer.go
+++ b/internal/statesync/peer.go
@@ -181,6 +181,9 @@
 func (p *peer) tryApplyMessage(m *siblingpb.News) error {
 	return recovery.Run(func() error {
 		p.applyMessage(m)
+		if p.sameRegion {
+			p.syncer.heard.Store(true)
+		}
 		return nil
 	})
 }
--- a/internal/statesync/statesync.go
+++ b/internal/statesync/statesync.go
@@ -91,6 +91,7 @@
 type Syncer struct {
 	cfg     Config
 	isRelay atomic.Bool
+	heard   atomic.Bool      // see HasHeard
 	links   map[string]*link // links by failure domain; used by Run only
 
 	mu    sync.Mutex
@@ -122,6 +123,10 @@
 	return true
 }
 
+// HasHeard reports whether a first message of a VM of this region was applied. It has all that VM knows of the
+// tables and the store may have lost.
+func (s *Syncer) HasHeard() bool { return s.heard.Load() }
+
 // Notify makes the Syncer send changes without waiting for the next refresh. It does
 // not wait for them to be sent.
 func (s *Syncer) Notify() {
