--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -78,7 +78,12 @@
 
 func TestSoak(t *testing.T) {
 	t.Log("seeds known to fail, not run:", knownFailingSeeds)
-	seeds := fixedSeeds
+	runSeeds(t, fixedSeeds, runSeed)
+}
+
+// runSeeds calls run for each of the fixed seeds, or for those of -soak.seeds and -soak.first.
+func runSeeds(t *testing.T, seeds []uint64, run func(t *testing.T, program string, seed uint64)) {
+	t.Helper()
 	if *seedCount > 0 {
 		seeds = nil
 		first := *firstSeed
@@ -99,7 +104,7 @@
 		runSlots <- struct{}{}
 		runs.Go(func() {
 			defer func() { <-runSlots }()
-			t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, program, seed) })
+			t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { run(t, program, seed) })
 		})
 	}
 	runs.Wait()
@@ -160,6 +165,12 @@
 	r.close()
 	time.Sleep(callerTimeout) // servers may still get requests of callers that have stopped
 
+	cl.report(t, seed)
+}
+
+// report logs the summary of a run and reports its violations.
+func (cl *cluster) report(t *testing.T, seed uint64) {
+	t.Helper()
 	t.Log(cl.checker.summary())
 	if violations := cl.checker.check(*checkBounds); len(violations) > 0 {
 		t.Errorf("seed %d: %d violations:\n%s", seed, len(violations), strings.Join(violations[:min(len(violations), 20)], "\n"))
