--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -46,9 +46,12 @@
 
 type tableDump struct {
 	Name    string `json:"name"`
+	Era     string `json:"era"` // in which the store gave out Version
 	Version uint64 `json:"version"`
 	AgeMs   int64  `json:"age_ms"`
 	Rows    int    `json:"rows"`
+	// Lost is the number of rows that count although the store came back from a copy without them.
+	Lost int `json:"lost,omitempty"`
 }
 
 func (e *Entry) serveDump(w http.ResponseWriter, _ *http.Request) {
@@ -60,8 +63,12 @@
 		Rollouts: e.state.rollouts.Status(now),
 		VMs:      e.state.VMs(), Servers: e.state.fleet.All(now), Spillover: e.planning.dump(),
 		Tables: lo.Map(e.state.tables(), func(t *replica.Table, _ int) tableDump {
-			version, asOf, _ := t.State()
-			return tableDump{Name: t.Name(), Version: version, AgeMs: now.Sub(asOf).Milliseconds(), Rows: len(t.Rows())}
+			_, asOf, _ := t.State()
+			p, rows := t.Position(), t.Rows()
+			return tableDump{
+				Name: t.Name(), Era: p.Era.String(), Version: p.Version, AgeMs: now.Sub(asOf).Milliseconds(), Rows: len(rows),
+				Lost: lo.CountBy(rows, func(r replica.Row) bool { return r.Lost }),
+			}
 		}),
 	}
 	if routes := e.state.routes.Load(); routes != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"goldcresthinge.example/goldcresthinge/internal/front"
 	"goldcresthinge.example/goldcresthinge/internal/metrics"
 	"goldcresthinge.example/goldcresthinge/internal/recovery"
+	"goldcresthinge.example/goldcresthinge/internal/replica"
 	"goldcresthinge.example/goldcresthinge/internal/retry"
 	"goldcresthinge.example/goldcresthinge/internal/settings"
 	"goldcresthinge.example/goldcresthinge/internal/sibling"
@@ -109,6 +110,7 @@
 	stopOnce          sync.Once
 	stopped           chan struct{}
 	registered        atomic.Bool
+	reportedEra       replica.Era // used by reportEra only
 	liveness          *statesync.Liveness
 	silence           silenceTracker // used by removeSilentVMs only
 }
@@ -303,6 +305,20 @@
 	return e.node.Load().Bootstrap || e.syncer.HasHeard() || e.state.vmsKnownFor(maxSiblingWait)
 }
 
+// reportEra counts the eras of the store that this VM has come to know, and the rows that the store has lost.
+func (e *Entry) reportEra() {
+	scope := e.metrics.Scope.SubScope("store")
+	era := e.storeEra()
+	if e.reportedEra != 0 && era > e.reportedEra {
+		scope.Counter("restores").Inc(int64(era - e.reportedEra)) //nolint:gosec // each rises by one
+		_ = level.Warn(e.log).Log("msg", "store came back from a copy", "era", era, "era_before", e.reportedEra)
+	}
+	e.reportedEra = era
+	for _, t := range e.state.tables() {
+		scope.Tagged(map[string]string{"table": t.Name()}).Gauge("lost_rows").Update(float64(t.LostCount()))
+	}
+}
+
 // stateChanged decodes changed tables if tablesChanged is set, and tries again
 // to place the waiting requests.
 func (e *Entry) stateChanged(tablesChanged bool) {
@@ -332,6 +348,7 @@
 	e.loop("register", e.register)
 	e.loop("refresh", e.every(refreshInterval, func(now time.Time) {
 		e.state.refresh(now)
+		e.reportEra()
 		e.prober.notices.reportEnded(now)
 	}))
 	e.loop("usage", e.every(usage.TickInterval, e.shareUsage))
--- a/internal/entry/register_test.go
+++ b/internal/entry/register_test.go
@@ -23,8 +23,11 @@
 		{"removed", func(int) replica.Era { return 1 }, func(ms int) bool { return ms < 6000 }, 0.5, []int{6000, 11000}},
 		{"restored", func(ms int) replica.Era { return replica.Era(1 + min(ms/1000, 1)) }, func(int) bool { return true }, 0.5, []int{1500}},
 		{"restored, with another delay", func(ms int) replica.Era { return replica.Era(1 + min(ms/1000, 1)) }, func(int) bool { return true }, 0, []int{1000}},
-		{"restored without the row, and the copy is late", func(ms int) replica.Era { return replica.Era(1 + min(ms/1000, 1)) },
-			func(ms int) bool { return ms < 1000 || ms > 5000 }, 0.5, []int{1500}},
+		{
+			"restored without the row, and the copy is late", func(ms int) replica.Era { return replica.Era(1 + min(ms/1000, 1)) },
+			func(ms int) bool { return ms < 1000 || ms > 5000 }, 0.5,
+			[]int{1500},
+		},
 		{"two drills", func(ms int) replica.Era { return replica.Era(1 + min(ms/2000, 2)) }, func(int) bool { return true }, 0.5, []int{2500, 4500}},
 		{"no eras", func(int) replica.Era { return 0 }, func(int) bool { return true }, 0.5, nil},
 	} {
--- a/internal/entry/restored_state_test.go
+++ b/internal/entry/restored_state_test.go
@@ -127,11 +127,21 @@
 		want   bool
 	}{
 		{"draining", []replica.Row{eraRow(1, 40, 4, "ready"), eraRow(1, 50, 6, "draining")}, []replica.Row{eraRow(2, 40, 4, "ready")}, nil, 0, false},
-		{"draining, and an earlier heartbeat", []replica.Row{eraRow(1, 40, 4, "ready"), eraRow(1, 50, 6, "draining")},
-			[]replica.Row{eraRow(2, 40, 4, "ready")}, []replica.Row{eraRow(2, 51, 5, "ready")}, 0, false},
+		{
+			"draining, and an earlier heartbeat",
+			[]replica.Row{eraRow(1, 40, 4, "ready"), eraRow(1, 50, 6, "draining")},
+			[]replica.Row{eraRow(2, 40, 4, "ready")},
+			[]replica.Row{eraRow(2, 51, 5, "ready")},
+			0, false,
+		},
 		{"gone", []replica.Row{eraRow(1, 40, 4, "ready"), {Key: "x", Era: 1, Version: 50, Removed: true}}, []replica.Row{eraRow(2, 40, 4, "ready")}, nil, 0, false},
-		{"gone, and lives", []replica.Row{eraRow(1, 40, 4, "ready"), {Key: "x", Era: 1, Version: 50, Removed: true}},
-			[]replica.Row{eraRow(2, 40, 4, "ready")}, []replica.Row{eraRow(2, 51, 7, "ready")}, 0, true},
+		{
+			"gone, and lives",
+			[]replica.Row{eraRow(1, 40, 4, "ready"), {Key: "x", Era: 1, Version: 50, Removed: true}},
+			[]replica.Row{eraRow(2, 40, 4, "ready")},
+			[]replica.Row{eraRow(2, 51, 7, "ready")},
+			0, true,
+		},
 		{"lost", []replica.Row{eraRow(1, 50, 4, "ready")}, nil, nil, 1000, true},
 		{"lost and written again", []replica.Row{eraRow(1, 50, 4, "ready")}, nil, []replica.Row{eraRow(2, 51, 5, "ready")}, 5000, true},
 		{"lost and written again as it was", []replica.Row{eraRow(1, 50, 4, "ready")}, nil, []replica.Row{eraRow(2, 51, 4, "ready")}, 5000, true},
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -216,7 +216,7 @@
 func (d *deploymentState) removeLost(now time.Time, t *replica.Table, timeout time.Duration) {
 	until, found := d.lostUntil[t]
 	switch {
-	case !found && t.HasLost():
+	case !found && t.LostCount() > 0:
 		d.lostUntil[t] = now.Add(timeout)
 		_ = level.Warn(d.log).Log("msg", "store came back from a copy without some rows; they count for now", "table", t.Name(), "for_ms", timeout.Milliseconds())
 	case found && !now.Before(until):
--- a/internal/replica/era.go
+++ b/internal/replica/era.go
@@ -145,11 +145,11 @@
 	return t.unstored
 }
 
-// HasLost reports whether there are lost rows.
-func (t *Table) HasLost() bool {
+// LostCount returns the number of lost rows.
+func (t *Table) LostCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.lost()) > 0
+	return len(t.lost())
 }
 
 // RemoveLost removes the lost rows. It is meant for rows whose writers would have written them again.
