replica: an older copy brings no removed row back

Callers may be sent to a server that has left, or kept out of a failure domain that is in service again; found on reading and by a property test, not seen with callers.

Cause: of a copy that is not newer, a VM takes over rows with newer versions than its own, since changes that are equivalent for readers are not passed on. It did so also for rows that its own newer copy does not have, because they were removed or the store has lost them.

Change: only a row that the copy has in its present era is replaced. That a removed row is back after a return of the store from a copy is held against the row by a VM that has seen the removal itself, in the next era only, and is no longer passed on: another VM may know of a write after it.

Evidence: TestOlderCopyBringsNoRemovedRowBack failed before and passes.

--- a/internal/replica/era.go
+++ b/internal/replica/era.go
@@ -113,10 +113,11 @@
 	}
 }
 
-// removedBefore reports whether r, which the store has given out in a later era, is the write whose
-// removal e records. The copy from which the store came back is then from before the removal.
+// removedBefore reports whether r, which the store has given out in the next era, is the write whose
+// removal e records. The copy from which the store came back is then from before the removal. In an era
+// that this copy has missed, the row may have been written again.
 func (e entry) removedBefore(r Row) bool {
-	return e.removed != nil && !r.Removed && e.Era < r.Era && e.removed.Version == r.Version && bytes.Equal(e.removed.Value, r.Value)
+	return e.removed != nil && !r.Removed && e.Era+1 == r.Era && e.removed.Version == r.Version && bytes.Equal(e.removed.Value, r.Value)
 }
 
 // Unstored returns what this copy knows and a process that reads the store now does not: rows that do
--- a/internal/replica/order_test.go
+++ b/internal/replica/order_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"goldcresthinge.example/goldcresthinge/internal/outage"
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 )
 
@@ -261,3 +262,20 @@
 		}
 	})
 }
+
+// Guards against a server that has left and is used again because a sibling sends an older copy in which
+// its row is newer than the removal that this copy knows: it has read the whole table since.
+func TestOlderCopyBringsNoRemovedRowBack(t *testing.T) {
+	own := newOrdered()
+	own.Apply(replica.Changes{Full: true, Version: 2, Rows: []replica.Row{row("x", "1 ready", 2)}}, epoch)
+	own.Apply(replica.Changes{BaseVersion: 2, Version: 3, Rows: []replica.Row{removal(3)}}, epoch)
+	own.Apply(replica.Changes{Full: true, Version: 9}, epoch) // x was written at 6 and removed again
+	own.ApplyCopy(replica.Changes{Full: true, Version: 7, Rows: []replica.Row{row("x", "5 ready", 6)}}, outage.History{AsOf: epoch, Since: epoch})
+	if r, ok := own.Get("x"); ok {
+		t.Errorf("the row is back: %+v", r)
+	}
+	own.Apply(replica.Changes{BaseVersion: 9, Version: 10, Rows: []replica.Row{row("x", "4 ready", 10)}}, epoch)
+	if r, _ := own.Get("x"); !r.LatestRemoved {
+		t.Error("a late write from before the removal counts as the latest")
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -37,7 +37,7 @@
 	// LatestRemoved is true if the row was removed after Latest was written.
 	LatestRemoved bool
 	// Lost is true if the store came back from a copy without the row and has not said anything of it
-	// since. Table sets it in what it returns.
+	// since. Rows and Get set it.
 	Lost bool
 }
 
@@ -327,7 +327,7 @@
 	if !ok && r.Era != t.era {
 		return // that this copy has no such row does not mean that it was removed
 	}
-	if ok && r.Era == t.era && r.position().Compare(old.position()) > 0 {
+	if ok && !old.Removed && old.Era == t.era && r.Era == t.era && r.Version > old.Version {
 		// What this copy has is equivalent to a newer version, unless the writer has written r later.
 		if !r.Removed && !t.older(r.Key, r.Value, old.Value) {
 			t.merge(r)
@@ -340,9 +340,6 @@
 	latest, removed := old.latest()
 	seen, seenRemoved := r.latest()
 	learned, learnedRemoved := t.later(r.Key, latest, removed, seen, seenRemoved)
-	if r.position() == old.position() && r.LatestRemoved && bytes.Equal(r.Latest, old.Value) {
-		learned, learnedRemoved = r.Latest, true
-	}
 	learnedRemoved = learnedRemoved || old.Removed
 	if learned == nil || learnedRemoved == removed && bytes.Equal(learned, latest) {
 		return
