soak: drills count the reads of the store

With -soak.bounds, a drill fails above the share of a VM of the reads that the store allows, 6,000/s for 140 VMs.

--- a/internal/soak/drill_test.go
+++ b/internal/soak/drill_test.go
@@ -21,6 +21,9 @@
 	// maxDrillOutage is the longest time for which the store is away in a drill.
 	maxDrillOutage = 1200 * time.Millisecond
 	maxDrills      = 3
+	// maxReadRate is the share of a VM of the reads per second that the store allows all VMs of the largest
+	// deployment in force, 6,000 for 140 VMs.
+	maxReadRate = 6000.0 / 140
 )
 
 // drillSeeds are the seeds of TestDrills that run in CI.
@@ -104,6 +107,14 @@
 
 	endFault := cl.checker.beginFault()
 	vms := cl.allVMs()
+	started, reads := time.Now(), cl.store.Reads()
+	defer func() {
+		rate := float64(cl.store.Reads()-reads) / float64(len(vms)) / time.Since(started).Seconds()
+		log("%s drill over, %.1f reads of the store a VM and second", time.Now().Format("15:04:05.000"), rate)
+		if *checkBounds && rate > maxReadRate {
+			cl.checker.recordViolation("%.1f reads of the store a VM and second in a drill, want at most %.1f", rate, maxReadRate)
+		}
+	}()
 	for _, v := range vms {
 		v.storeClient.SetFaults(platformtest.StoreFaults{Unavailable: true})
 	}
@@ -126,8 +137,8 @@
 			return err
 		}
 	}
+	time.Sleep(faultSettleTime + time.Second)
 	if evacuation == evacuatedBeforeCopy || evacuation == evacuationLost {
-		time.Sleep(faultSettleTime + time.Second)
 		end := cl.checker.beginExclusion(exclusion{domain: domain}, 0)
 		time.Sleep(faultSettleTime)
 		end()
