entry: a test of VMs on a store that states no era

The stand-in's store states the era now, so the other tests with real VMs no longer cover a store without the header.

--- a/internal/entry/deployment_test.go
+++ b/internal/entry/deployment_test.go
@@ -95,7 +95,12 @@
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: platformtest.NewStore()}
+	return newDeploymentWith(t, platformtest.NewStore())
+}
+
+func newDeploymentWith(t *testing.T, store *platformtest.Store) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: store}
 	d.storeClient = d.store.Client()
 	d.storeLink = netem.New(0, 0)
 	t.Cleanup(d.storeLink.Close)
--- a/internal/entry/restored_test.go
+++ b/internal/entry/restored_test.go
@@ -137,3 +137,27 @@
 	}
 	d.eventually("the VM is registered again", func() bool { return d.store.Get(platform.TableVMs, vm) != nil })
 }
+
+// Guards against VMs that do not follow a store that states no era, or take its lost history for a return
+// from a copy.
+func TestVMsFollowAStoreWithoutEras(t *testing.T) {
+	store := platformtest.NewStore()
+	store.WithoutEra = true
+	d := newDeploymentWith(t, store)
+	d.must(d.store.Evacuate("b"))
+	d.configure(2)
+	for _, n := range d.vms {
+		d.eventually("the VMs follow the evacuation", func() bool { return d.avoids(n, "b") })
+		d.eventually("the VMs have the new configuration", func() bool { return d.status(n.callerAddress, "/v2/x") == 200 })
+	}
+	d.store.Return("b")
+	d.store.Compact()
+	d.configure(3)
+	d.eventually("the failure domain is used again", func() bool { return !d.avoids(d.vms[2], "b") })
+	for i, n := range d.vms {
+		d.eventually("the VMs have the third configuration", func() bool { return d.status(n.callerAddress, "/v3/x") == 200 })
+		if d.logs(i, "came back from a copy") {
+			t.Errorf("vm-%d takes the store for one that came back from a copy", i)
+		}
+	}
+}
