replica: a whole table states which removals it has

Callers saw nothing; the price of bytes between regions rose.

Change: a whole table states the version after which its rows include all removals. A copy that had reached that version knows all removals and goes on sending changes.

--- a/internal/replica/era.go
+++ b/internal/replica/era.go
@@ -132,7 +132,8 @@
 			rows = append(rows, e.Row)
 		}
 	}
-	return append(rows, t.lastRemoved()...)
+	removed, _ := t.lastRemoved()
+	return append(rows, removed...)
 }
 
 // UnstoredRevision returns a number that changes with what Unstored returns after the store has come
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +51,8 @@
 	Version     uint64
 	// Full is true if Rows is the whole table at Version.
 	Full bool
+	// RemovalsAfter is the version after which Rows has all removals, if Full is true. 0: it has none.
+	RemovalsAfter uint64
 	// Partial is true if the store had further changes after Version.
 	Partial bool
 }
@@ -196,10 +199,6 @@
 		return true
 	}
 	if c.Full {
-		if t.version > 0 && t.version < c.Version && !t.unresolved {
-			// Lost rows may have been written and removed again in between.
-			t.unresolved, t.unresolvedAfter = true, t.version
-		}
 		t.replace(c)
 	} else {
 		for _, r := range c.Rows {
@@ -231,8 +230,15 @@
 	for _, r := range c.Rows {
 		t.merge(r)
 	}
-	if t.version < c.Version {
-		t.tombstoneFloor = c.Version // rows that were written and removed in between are not known
+	removalsAfter := cmp.Or(c.RemovalsAfter, c.Version)
+	if t.version >= removalsAfter {
+		return
+	}
+	// Rows that were written and removed in between are not known.
+	t.tombstoneFloor = max(t.tombstoneFloor, removalsAfter)
+	if t.version > 0 && !t.unresolved {
+		// These may be lost rows.
+		t.unresolved, t.unresolvedAfter = true, t.version
 	}
 }
 
@@ -467,23 +473,38 @@
 		}
 	}
 	if c.Full {
-		c.Rows = append(c.Rows, t.lastRemoved()...)
+		removed, after := t.lastRemoved()
+		c.Rows = append(c.Rows, removed...)
+		c.RemovalsAfter = after
 	}
 	return c
 }
 
 // lastRemoved returns the rows that were removed last, at most maxSentTombstones. Unless the store has
-// come back from a copy, only those are of use to a sibling whose latest values are known. The caller
-// must hold mu.
-func (t *Table) lastRemoved() []Row {
-	var removed []Row
+// come back from a copy, only those are of use to a sibling whose latest values are known. after is the
+// version of this era after which these are all that were removed. The caller must hold mu.
+func (t *Table) lastRemoved() (removed []Row, after uint64) {
+	after = t.tombstoneFloor
+	leaveOut := func(r Row) {
+		if r.Era == t.era {
+			after = max(after, r.Version)
+		}
+	}
 	for _, e := range t.rows {
-		if e.Removed && (e.Latest != nil || t.hasRestored) {
+		switch {
+		case !e.Removed:
+		case e.Latest != nil || t.hasRestored:
 			removed = append(removed, e.Row)
+		default:
+			leaveOut(e.Row)
 		}
 	}
 	slices.SortFunc(removed, func(a, b Row) int { return b.position().Compare(a.position()) })
-	return removed[:min(len(removed), maxSentTombstones)]
+	for len(removed) > maxSentTombstones {
+		leaveOut(removed[len(removed)-1])
+		removed = removed[:len(removed)-1]
+	}
+	return removed, after
 }
 
 // Rows returns the rows that are not removed, in no particular order.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -80,6 +80,28 @@
 	}
 }
 
+// Guards against siblings that are sent whole tables again and again because a copy was replaced by a
+// whole table whose removals are all known.
+func TestWholeTableWithItsRemovalsIsFollowedByChanges(t *testing.T) {
+	relay, sender := newOrdered(), newOrdered()
+	for _, c := range []*replica.Table{relay, sender} {
+		c.Apply(replica.Changes{Full: true, Version: 3, Rows: []replica.Row{row("x", "1 ready", 2)}}, epoch)
+	}
+	sender.Apply(replica.Changes{BaseVersion: 3, Version: 5, Rows: []replica.Row{removal(5)}}, epoch)
+	sender.Apply(replica.Changes{BaseVersion: 5, Version: 8, Rows: []replica.Row{row("y", "1 ready", 8)}}, epoch)
+	whole := sender.Since(replica.Position{})
+	if whole.RemovalsAfter != 3 {
+		t.Errorf("the whole table has the removals after version %d, want 3", whole.RemovalsAfter)
+	}
+	relay.Apply(whole, epoch)
+	if c := relay.Since(replica.Position{Version: 4}); c.Full || len(c.Rows) != 2 {
+		t.Errorf("a sibling at version 4 is sent %+v, want the two changes", c)
+	}
+	if c := relay.Since(replica.Position{Version: 2}); !c.Full {
+		t.Error("a sibling at version 2 is sent changes, but removals up to version 3 are not known")
+	}
+}
+
 // Guards against a relay that does not pass a removal on because it never had the row, while a sibling
 // that read the store at another time has it.
 func TestRemovalOfUnknownRowIsPassedOn(t *testing.T) {
--- a/internal/statesync/codec.go
+++ b/internal/statesync/codec.go
@@ -75,7 +75,7 @@
 func encodeTable(now time.Time, name string, c replica.Changes, h outage.History) *siblingpb.TableNews {
 	out := &siblingpb.TableNews{
 		Table: name, Version: c.Version, After: c.BaseVersion, Whole: c.Full, AgeMs: ageMs(now, h.AsOf),
-		UnbrokenMs: clamp(int(h.Unbroken().Milliseconds())), AfterOutage: h.AfterOutage, Era: (*uint64)(&c.Era),
+		UnbrokenMs: clamp(int(h.Unbroken().Milliseconds())), AfterOutage: h.AfterOutage, Era: (*uint64)(&c.Era), RemovalsAfter: c.RemovalsAfter,
 	}
 	for _, r := range c.Rows {
 		if r.Era == 0 && c.Era != 0 {
@@ -95,7 +95,7 @@
 // decodeTable returns the changes in a message that was received at now, and the history of the reads of
 // the store that led to them.
 func decodeTable(now time.Time, m *siblingpb.TableNews) (replica.Changes, outage.History) {
-	c := replica.Changes{Era: replica.Era(m.GetEra()), BaseVersion: m.GetAfter(), Version: m.GetVersion(), Full: m.GetWhole()}
+	c := replica.Changes{Era: replica.Era(m.GetEra()), BaseVersion: m.GetAfter(), Version: m.GetVersion(), Full: m.GetWhole(), RemovalsAfter: m.GetRemovalsAfter()}
 	for _, r := range m.GetRows() {
 		c.Rows = append(c.Rows, replica.Row{
 			Key: r.GetKey(), Value: r.GetValue(), Era: replica.Era(r.GetEra()), Version: r.GetVersion(), Removed: r.GetRemoved(),
