--- a/internal/statesync/era_test.go
+++ b/internal/statesync/era_test.go
@@ -8,8 +8,8 @@
 	"goldcresthinge.example/goldcresthinge/internal/replica"
 )
 
-// exchange lets both ends of a link send until neither has anything to send, at most a given number of
-// times, with a refresh between. change, if it is not nil, is applied to each message.
+// exchange lets each end of a link send once a round, with a refresh due, and returns the messages. change,
+// if it is not nil, is applied to each message before it is received.
 func exchange(c *proofCluster, pair [2]int, rounds int, change func(from int, m *siblingpb.News)) (sent []*siblingpb.News) {
 	l := c.links[pair]
 	for range rounds {
